Add design page, build, shared types and peer protocol

Cause: an empty repository; parallel work needs fixed interfaces. Change: docs/design.md; Maven modules with formatter, Checkstyle, Error Prone and NullAway; decision types in core, service interfaces in net, generated protobuf messages in wire.

--- /dev/null
+++ b/cli/src/main/java/org/pollenspar/cli/package-info.java
@@ -0,0 +1,5 @@
+/** Placeholder. */
+@NullMarked
+package org.pollenspar.cli;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/pollenspar/core/connection/DatabaseState.java
@@ -0,0 +1,30 @@
+package org.pollenspar.core.connection;
+
+/**
+ * The state of one database as it answered to a probe.
+ *
+ * @param databaseId name of the database
+ * @param role what it believes it is
+ * @param fencedTerm terms below this one are refused by the database
+ * @param logTerm term of the primary whose log it follows or writes
+ * @param logOffset last log entry it holds
+ * @param connections open connections, this one included
+ */
+public record DatabaseState(
+    String databaseId,
+    DatabaseRole role,
+    long fencedTerm,
+    long logTerm,
+    long logOffset,
+    int connections) {
+
+  /** Returns the position of its log. */
+  public Position position() {
+    return new Position(logTerm, logOffset);
+  }
+
+  /** Returns whether it is a primary that no fence has stopped. */
+  public boolean leads() {
+    return role == DatabaseRole.PRIMARY && fencedTerm <= logTerm;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/pollenspar/core/process/HostState.java
@@ -0,0 +1,12 @@
+package org.pollenspar.core.process;
+
+/** Whether a host stays in the fleet, as the platform's host list says. */
+public enum HostState {
+  LIVE,
+  LEAVING;
+
+  /** Returns whether new work may be sent to the host. */
+  public boolean acceptsNewWork() {
+    return this == LIVE;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/pollenspar/core/process/Severity.java
@@ -0,0 +1,24 @@
+package org.pollenspar.core.process;
+
+import java.lang.System.Logger.Level;
+
+/** How serious an error is, and the log level that goes with it. */
+public enum Severity {
+  /** Refused input or overload: expected in operation, counted but not logged. */
+  NOTICE(Level.DEBUG),
+  /** A part is degraded; work goes on. */
+  WARNING(Level.WARNING),
+  /** A promise is at risk or a program cannot start. */
+  ERROR(Level.ERROR);
+
+  private final Level level;
+
+  Severity(Level level) {
+    this.level = level;
+  }
+
+  /** Returns the log level for errors of this severity. */
+  public Level level() {
+    return level;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/pollenspar/core/process/TimelineEvent.java
@@ -0,0 +1,13 @@
+package org.pollenspar.core.process;
+
+/**
+ * One change of state in the time line.
+ *
+ * @param stamp hybrid logical clock of the event
+ * @param process id of the process that recorded it
+ * @param kind what happened, in snake case, for example {@code primary_suspected}
+ * @param subject group, database, host or version that it concerns
+ * @param detail free text
+ */
+public record TimelineEvent(
+    long stamp, String process, String kind, String subject, String detail) {}
--- /dev/null
+++ b/core/src/main/java/org/pollenspar/core/version/FleetFile.java
@@ -0,0 +1,31 @@
+package org.pollenspar.core.version;
+
+import java.util.Map;
+import org.pollenspar.core.request.Rank;
+import org.pollenspar.core.request.WorkKind;
+
+/**
+ * The file that operators apply, parsed and checked.
+ *
+ * @param deployment name of the deployment
+ * @param groups database groups by name
+ * @param ranks ranks by name
+ * @param kinds kinds of work by name
+ * @param keyRetentionHours hours that idempotency records are kept
+ * @param maxStatements statements allowed in one transaction
+ */
+public record FleetFile(
+    String deployment,
+    Map<String, GroupSpec> groups,
+    Map<String, Rank> ranks,
+    Map<String, WorkKind> kinds,
+    int keyRetentionHours,
+    int maxStatements) {
+
+  /** Copies the maps. */
+  public FleetFile {
+    groups = Map.copyOf(groups);
+    ranks = Map.copyOf(ranks);
+    kinds = Map.copyOf(kinds);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/pollenspar/core/version/GroupSpec.java
@@ -0,0 +1,23 @@
+package org.pollenspar.core.version;
+
+import java.util.List;
+
+/**
+ * A database group, declared in the applied file.
+ *
+ * @param name name of the group at the platform
+ * @param databases ids of its databases
+ * @param connectionsPerDatabase most connections that all proxies together may open to each
+ */
+public record GroupSpec(String name, List<String> databases, int connectionsPerDatabase) {
+
+  /** Copies the list of databases. */
+  public GroupSpec {
+    databases = List.copyOf(databases);
+  }
+
+  /** Returns the number of databases that form a majority. */
+  public int majority() {
+    return databases.size() / 2 + 1;
+  }
+}
--- /dev/null
+++ b/failover/src/main/java/org/pollenspar/failover/package-info.java
@@ -0,0 +1,5 @@
+/** Placeholder. */
+@NullMarked
+package org.pollenspar.failover;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/load/src/main/java/org/pollenspar/load/package-info.java
@@ -0,0 +1,5 @@
+/** Placeholder. */
+@NullMarked
+package org.pollenspar.load;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/net/src/main/java/org/pollenspar/net/connection/PeerAddress.java
@@ -0,0 +1,10 @@
+package org.pollenspar.net.connection;
+
+/**
+ * Address of another process of pollenspar.
+ *
+ * @param hostId id in the host list
+ * @param address IP number
+ * @param port peer port
+ */
+public record PeerAddress(String hostId, String address, int port) {}
--- /dev/null
+++ b/net/src/main/java/org/pollenspar/net/process/GroupService.java
@@ -0,0 +1,62 @@
+package org.pollenspar.net.process;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.pollenspar.core.process.PollensparError;
+
+/** The platform's database groups: terms, members, fencing and promotion. */
+public interface GroupService {
+
+  /** Reads the state of a group. */
+  Either<PollensparError, GroupStatus> status(String group, Duration timeout);
+
+  /**
+   * Orders every reachable database of the group to refuse terms below {@code term}.
+   *
+   * @return the databases that confirmed; a left side of kind {@code PLATFORM_REFUSED} if the term
+   *     was granted to another owner or is not above every term granted before
+   */
+  Either<PollensparError, List<MemberStatus>> fence(
+      String group, long term, String owner, Duration timeout);
+
+  /**
+   * Makes a database the primary of {@code term}. Only the owner of the latest fence may do so.
+   *
+   * @return true, or a left side of kind {@code PLATFORM_REFUSED} with the reason
+   */
+  Either<PollensparError, Boolean> promote(
+      String group, long term, String owner, String databaseId, Duration timeout);
+
+  /**
+   * State of a group.
+   *
+   * @param group name
+   * @param term highest term granted
+   * @param primary id of the primary of the last promotion, if any
+   * @param members databases of the group
+   */
+  record GroupStatus(
+      String group, long term, Optional<String> primary, List<MemberStatus> members) {}
+
+  /**
+   * State of a database as the platform last saw it.
+   *
+   * @param id name of the database
+   * @param address IP number
+   * @param port port of its PostgreSQL protocol
+   * @param reachable whether the platform reaches it
+   * @param fencedTerm terms below it are refused
+   * @param logTerm term of its log
+   * @param offset last log entry
+   */
+  record MemberStatus(
+      String id,
+      String address,
+      int port,
+      boolean reachable,
+      long fencedTerm,
+      long logTerm,
+      long offset) {}
+}
--- /dev/null
+++ b/net/src/main/java/org/pollenspar/net/process/HostDirectory.java
@@ -0,0 +1,18 @@
+package org.pollenspar.net.process;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.Optional;
+import org.pollenspar.core.process.HostList;
+import org.pollenspar.core.process.PollensparError;
+
+/** The platform's list of hosts. */
+public interface HostDirectory {
+
+  /**
+   * Waits until the list's revision exceeds {@code afterRevision}, at most {@code wait}.
+   *
+   * @return the new list; empty if nothing changed
+   */
+  Either<PollensparError, Optional<HostList>> watch(long afterRevision, Duration wait);
+}
--- /dev/null
+++ b/net/src/main/java/org/pollenspar/net/request/HttpHandler.java
@@ -0,0 +1,11 @@
+package org.pollenspar.net.request;
+
+import java.util.concurrent.CompletionStage;
+
+/** Answers HTTP requests. Called on a server thread; must not block. */
+@FunctionalInterface
+public interface HttpHandler {
+
+  /** Handles a request. A failed stage becomes status 500. */
+  CompletionStage<HttpReply> handle(HttpCall call);
+}
--- /dev/null
+++ b/proxy/src/main/java/org/pollenspar/proxy/package-info.java
@@ -0,0 +1,5 @@
+/** Placeholder. */
+@NullMarked
+package org.pollenspar.proxy;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/standin/src/main/java/org/pollenspar/standin/package-info.java
@@ -0,0 +1,5 @@
+/** Placeholder. */
+@NullMarked
+package org.pollenspar.standin;
+
+import org.jspecify.annotations.NullMarked;
