Add HTTP listener on Grizzly whose threads never wait

Cause: callers, operators and stand-ins need one HTTP listener on which slow or half-open callers occupy no threads. Change: HttpService reads bodies as they arrive, takes asynchronous handlers, refuses oversized bodies with BODY_TOO_LARGE, and closes connections that do not deliver a request within the read timeout. Ruled out: Grizzly's idle timeout, which a caller that sends byte by byte puts off for ever; worker threads, which a held reply would occupy.

--- /dev/null
+++ b/net/src/main/java/org/pollenspar/net/process/HttpService.java
@@ -0,0 +1,223 @@
+package org.pollenspar.net.process;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.CompletionStage;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.http.server.HttpServer;
+import org.glassfish.grizzly.http.server.NetworkListener;
+import org.glassfish.grizzly.http.server.Request;
+import org.glassfish.grizzly.http.server.RequestExecutorProvider;
+import org.glassfish.grizzly.http.server.Response;
+import org.glassfish.grizzly.nio.NIOConnection;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+import org.pollenspar.core.process.ErrorKind;
+import org.pollenspar.core.process.PollensparError;
+import org.pollenspar.net.connection.ConnectionDeadlines;
+import org.pollenspar.net.request.HttpCall;
+import org.pollenspar.net.request.HttpExchange;
+import org.pollenspar.net.request.HttpHandler;
+import org.pollenspar.net.request.HttpReply;
+
+/**
+ * An HTTP/1.1 listener on Grizzly whose threads never wait: bodies are read as they arrive, and
+ * handlers reply later from any thread. A slow or half-open caller therefore costs a connection,
+ * not a thread.
+ */
+public final class HttpService implements AutoCloseable {
+  /** A caller that has not read this many bytes of earlier replies is cut off. */
+  private static final int MAX_UNREAD_REPLY_BYTES = 4 << 20;
+
+  // Grizzly logs each start and stop at INFO; the reference keeps the level from being collected.
+  private static final Logger GRIZZLY_LOGGER = Logger.getLogger("org.glassfish.grizzly");
+
+  private final String name;
+  private final InetSocketAddress address;
+  private final int maxBodyBytes;
+  private final HttpHandler handler;
+  private final HttpServer server = new HttpServer();
+  private final NetworkListener listener;
+  private final ConnectionDeadlines deadlines;
+  private volatile boolean accepting;
+
+  /**
+   * Prepares a listener; {@link #start} opens the socket.
+   *
+   * @param name name of the threads
+   * @param address IP number and port; port 0 takes a free one
+   * @param maxBodyBytes larger bodies are refused with status 413
+   * @param readTimeout a connection that does not deliver a request in this time is closed
+   * @param threads threads that do all I/O
+   * @param handler answers the requests
+   */
+  public HttpService(
+      String name,
+      InetSocketAddress address,
+      int maxBodyBytes,
+      Duration readTimeout,
+      int threads,
+      HttpHandler handler) {
+    GRIZZLY_LOGGER.setLevel(Level.WARNING);
+    this.name = name;
+    this.address = address;
+    this.maxBodyBytes = maxBodyBytes;
+    this.handler = handler;
+    this.deadlines = new ConnectionDeadlines(name, readTimeout);
+    this.listener = new NetworkListener(name, address.getHostString(), address.getPort());
+    configure(threads);
+  }
+
+  private void configure(int threads) {
+    // The deadlines replace Grizzly's idle timeout, which a caller can put off byte by byte.
+    listener.getKeepAlive().setIdleTimeoutInSeconds(-1);
+    listener.getKeepAlive().setMaxRequestsCount(-1);
+    // Replies never block the thread that writes them; MAX_UNREAD_REPLY_BYTES bounds the queue.
+    listener.setMaxPendingBytes(-1);
+    listener.registerAddOn(deadlines);
+    TCPNIOTransport transport = listener.getTransport();
+    transport.setIOStrategy(SameThreadIOStrategy.getInstance());
+    transport.setReuseAddress(true);
+    transport.setTcpNoDelay(true);
+    transport.setSelectorRunnersCount(threads);
+    transport.setKernelThreadPoolConfig(
+        ThreadPoolConfig.defaultConfig()
+            .setPoolName(name)
+            .setCorePoolSize(threads)
+            .setMaxPoolSize(threads)
+            .setDaemon(true));
+    server.addListener(listener);
+    server.getServerConfiguration().setMaxPayloadRemainderToSkip(4L * maxBodyBytes);
+    server.getServerConfiguration().addHttpHandler(new GrizzlyHandler(), "/");
+  }
+
+  /** Opens the listening socket; fails with {@link ErrorKind#ADDRESS_IN_USE}. */
+  public void start() {
+    try {
+      server.start();
+      accepting = true;
+    } catch (IOException | RuntimeException e) {
+      throw PollensparError.of(ErrorKind.ADDRESS_IN_USE, address, String.valueOf(e.getMessage()))
+          .asException();
+    }
+  }
+
+  /** Returns the port that is listened on. */
+  public int port() {
+    return listener.getPort();
+  }
+
+  /** Returns the number of open connections. */
+  public int openConnections() {
+    return deadlines.openConnections();
+  }
+
+  /**
+   * Closes the listening socket. Requests on open connections are still answered, with {@code
+   * Connection: close}.
+   */
+  public void stopAccepting() {
+    accepting = false;
+    listener.getTransport().unbindAll();
+  }
+
+  /** Closes the listening socket and all connections. */
+  @Override
+  public void close() {
+    accepting = false;
+    deadlines.close();
+    server.shutdownNow();
+  }
+
+  private void answer(HttpCall call, HttpExchange exchange, Connection<?> connection) {
+    CompletionStage<HttpReply> stage;
+    try {
+      stage = handler.handle(call);
+    } catch (RuntimeException e) {
+      reply(internalError(e), exchange, connection, false);
+      return;
+    }
+    stage.whenComplete(
+        (reply, failure) ->
+            reply(failure == null ? reply : internalError(failure), exchange, connection, false));
+  }
+
+  private void reply(
+      HttpReply reply, HttpExchange exchange, Connection<?> connection, boolean closeConnection) {
+    if (unreadBytes(connection) > MAX_UNREAD_REPLY_BYTES) {
+      exchange.abort();
+      return;
+    }
+    deadlines.replyWritten(connection);
+    exchange.write(reply, closeConnection || !accepting);
+  }
+
+  private static int unreadBytes(Connection<?> connection) {
+    return connection instanceof NIOConnection nio ? nio.getAsyncWriteQueue().spaceInBytes() : 0;
+  }
+
+  private static HttpReply internalError(Throwable failure) {
+    String text = JsonNodeFactory.instance.textNode(String.valueOf(failure)).toString();
+    return HttpReply.json(500, "{\"error\": {\"message\": " + text + "}}");
+  }
+
+  private HttpReply tooLarge() {
+    ErrorKind kind = ErrorKind.BODY_TOO_LARGE;
+    var root = JsonNodeFactory.instance.objectNode().put("outcome", "not_run");
+    root.putObject("error")
+        .put("number", kind.number())
+        .put("name", kind.name())
+        .put("message", kind.message(maxBodyBytes));
+    return HttpReply.json(kind.httpStatus(), root.toString());
+  }
+
+  /** Hands Grizzly's requests to the handler. */
+  private final class GrizzlyHandler extends org.glassfish.grizzly.http.server.HttpHandler {
+    GrizzlyHandler() {
+      setAllowEncodedSlash(true);
+    }
+
+    @Override
+    public RequestExecutorProvider getRequestExecutorProvider() {
+      return new RequestExecutorProvider.SameThreadProvider();
+    }
+
+    @Override
+    public void service(Request request, Response response) {
+      response.suspend();
+      new Reading(request, response).exchange.start();
+    }
+  }
+
+  /** Follows one request from its first byte to the reply. */
+  private final class Reading implements HttpExchange.Listener {
+    private final HttpExchange exchange;
+    private final Connection<?> connection;
+
+    Reading(Request request, Response response) {
+      this.connection = request.getConnection();
+      this.exchange = new HttpExchange(request, response, maxBodyBytes, this);
+    }
+
+    @Override
+    public void received(HttpCall call) {
+      deadlines.requestDelivered(connection);
+      answer(call, exchange, connection);
+    }
+
+    @Override
+    public void tooLarge() {
+      reply(HttpService.this.tooLarge(), exchange, connection, true);
+    }
+
+    @Override
+    public void failed() {
+      exchange.abort();
+    }
+  }
+}
