--- /dev/null
+++ b/core/src/main/java/org/pollenspar/core/request/RankedAdmissionQueue.java
@@ -0,0 +1,186 @@
+package org.pollenspar.core.request;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.pollenspar.core.process.ErrorKind;
+
+/**
+ * Serves the most urgent rank first and keeps each rank's floor.
+ *
+ * <p>When a slot is free, a waiting rank whose share of the service of the last second is below its
+ * floor comes first, the largest deficit first; else the most urgent rank. Service is charged when
+ * a request starts, by the smoothed service time of its rank. Strict order of ranks alone would
+ * stop the lower ranks in a flood of a higher one; weights for all ranks would make urgent work
+ * wait in a flood of any other.
+ *
+ * <p>A request whose expected wait exceeds its deadline is refused at once. The caller then learns
+ * early that it should try again, and no slot is used for work that nobody waits for.
+ *
+ * @param <T> what waits
+ */
+final class RankedAdmissionQueue<T> implements AdmissionQueue<T> {
+  private static final double NANOS_PER_MILLI = 1e6;
+  private static final double PERCENT = 100;
+
+  /** The requests and the service of one rank. */
+  private static final class Lane<T> {
+    final Rank rank;
+    final WaitingLine<T> line = new WaitingLine<>();
+    final ServiceTime service = new ServiceTime();
+    final ServiceWindow window = new ServiceWindow();
+
+    Lane(Rank rank) {
+      this.rank = rank;
+    }
+
+    double floor() {
+      return rank.floorPercent() / PERCENT;
+    }
+
+    double queuedNanos() {
+      return line.length() * service.nanos();
+    }
+  }
+
+  /** The most urgent first. */
+  private final List<Lane<T>> lanes;
+
+  private final List<T> expired = new ArrayList<>();
+  private int concurrency = 1;
+
+  RankedAdmissionQueue(Collection<Rank> ranks) {
+    this.lanes =
+        ranks.stream().sorted(Comparator.comparingInt(Rank::level)).map(Lane<T>::new).toList();
+  }
+
+  @Override
+  public Admission offer(T item, Rank rank, long deadlineNanos, long nowNanos) {
+    Lane<T> lane = lane(rank);
+    double wait = expectedWaitNanos(lane);
+    if (lane.line.length() >= lane.rank.queueLimit()) {
+      return refused(ErrorKind.QUEUE_FULL, wait, wait);
+    }
+    double excess = wait + lane.service.nanos() - (deadlineNanos - nowNanos);
+    if (excess > 0) {
+      return refused(ErrorKind.DEADLINE_UNREACHABLE, wait, excess);
+    }
+    lane.line.addLast(item, rank, deadlineNanos);
+    return new Admission.Accepted();
+  }
+
+  private static Admission.Refused refused(ErrorKind kind, double waitNanos, double retryNanos) {
+    return new Admission.Refused(
+        kind,
+        (long) Math.ceil(waitNanos / NANOS_PER_MILLI),
+        Math.max(1, (long) Math.ceil(retryNanos / NANOS_PER_MILLI)));
+  }
+
+  /**
+   * Returns the wait of one more request of a rank: the queued work of its own and more urgent
+   * ranks, served by what the floors of waiting lower ranks leave; or its own queue served by its
+   * own floor, if that is sooner.
+   */
+  private double expectedWaitNanos(Lane<T> lane) {
+    double ahead = 0;
+    double lowerFloors = 0;
+    for (Lane<T> other : lanes) {
+      if (other.rank.level() <= lane.rank.level()) {
+        ahead += other.queuedNanos();
+      } else if (other.line.length() > 0) {
+        lowerFloors += other.floor();
+      }
+    }
+    double byRank = ahead / (1 - Math.min(lowerFloors, 0.5)) / concurrency;
+    if (lane.floor() == 0) {
+      return byRank;
+    }
+    return Math.min(byRank, lane.queuedNanos() / lane.floor() / concurrency);
+  }
+
+  @Override
+  public void putBack(T item, Rank rank, long deadlineNanos, long nowNanos) {
+    Lane<T> lane = lane(rank);
+    lane.line.addFirst(item, rank, deadlineNanos);
+    lane.window.add(-lane.service.nanos(), nowNanos);
+  }
+
+  @Override
+  public Optional<T> poll(long nowNanos) {
+    lanes.forEach(lane -> lane.line.trim(nowNanos, expired));
+    @Nullable Lane<T> next = next(nowNanos);
+    if (next == null) {
+      return Optional.empty();
+    }
+    next.window.add(next.service.nanos(), nowNanos);
+    return next.line.removeFirst().map(WaitingLine.Entry::item);
+  }
+
+  private @Nullable Lane<T> next(long nowNanos) {
+    double total = lanes.stream().mapToDouble(lane -> lane.window.sum(nowNanos)).sum();
+    @Nullable Lane<T> chosen = null;
+    double largestDeficit = 0;
+    for (Lane<T> lane : lanes) {
+      if (lane.line.length() == 0) {
+        continue;
+      }
+      double deficit = lane.floor() * total - lane.window.sum(nowNanos);
+      if (chosen == null || deficit > largestDeficit) {
+        chosen = lane;
+        largestDeficit = Math.max(0, deficit);
+      }
+    }
+    return chosen;
+  }
+
+  @Override
+  public List<T> expire(long nowNanos) {
+    lanes.forEach(lane -> lane.line.expire(nowNanos, expired));
+    List<T> result = List.copyOf(expired);
+    expired.clear();
+    return result;
+  }
+
+  @Override
+  public boolean remove(T item) {
+    return lanes.stream().anyMatch(lane -> lane.line.remove(item));
+  }
+
+  @Override
+  public void completed(Rank rank, long serviceNanos, long nowNanos) {
+    lane(rank).service.add(serviceNanos);
+  }
+
+  @Override
+  public void setConcurrency(int newConcurrency) {
+    concurrency = Math.max(1, newConcurrency);
+  }
+
+  @Override
+  public List<T> drain() {
+    List<T> result = new ArrayList<>(expired);
+    expired.clear();
+    lanes.forEach(lane -> lane.line.drainTo(result));
+    return result;
+  }
+
+  @Override
+  public int length() {
+    return lanes.stream().mapToInt(lane -> lane.line.length()).sum();
+  }
+
+  @Override
+  public int length(Rank rank) {
+    return lane(rank).line.length();
+  }
+
+  private Lane<T> lane(Rank rank) {
+    return lanes.stream()
+        .filter(lane -> lane.rank.level() == rank.level())
+        .findFirst()
+        .orElseThrow(() -> new IllegalArgumentException("Rank " + rank.name() + " is unknown."));
+  }
+}
