--- a/core/src/main/java/org/pollenspar/core/version/ConfigurationVersion.java
+++ b/core/src/main/java/org/pollenspar/core/version/ConfigurationVersion.java
@@ -1,6 +1,12 @@
 package org.pollenspar.core.version;
 
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
 import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
 
 /**
  * The value under the platform's configuration key.
@@ -28,6 +34,37 @@
     recent = List.copyOf(recent);
   }
 
+  /** Returns the version that follows {@code base}, or the first version if there is none. */
+  public static ConfigurationVersion successor(
+      Optional<ConfigurationVersion> base, String applyId, String author, String text) {
+    long version = base.map(ConfigurationVersion::version).orElse(0L) + 1;
+    List<RecentApply> recent =
+        Stream.concat(
+                Stream.of(new RecentApply(version, applyId)),
+                base.stream().flatMap(b -> b.recent().stream()))
+            .limit(RECENT_LIMIT)
+            .toList();
+    return new ConfigurationVersion(version, applyId, author, hash(text), text, recent);
+  }
+
+  /** Returns the SHA-256 of a text, in hexadecimal. */
+  public static String hash(String text) {
+    try {
+      MessageDigest digest = MessageDigest.getInstance("SHA-256");
+      return HexFormat.of().formatHex(digest.digest(text.getBytes(StandardCharsets.UTF_8)));
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every Java platform has SHA-256", e);
+    }
+  }
+
+  /** Returns the version that an apply made, if it is among the recent ones. */
+  public Optional<Long> versionOfApply(String id) {
+    return recent.stream()
+        .filter(apply -> apply.applyId().equals(id))
+        .map(RecentApply::version)
+        .findFirst();
+  }
+
   /**
    * An accepted apply.
    *
--- /dev/null
+++ b/core/src/main/java/org/pollenspar/core/version/FleetDiff.java
@@ -0,0 +1,102 @@
+package org.pollenspar.core.version;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * The difference of two applied files by meaning: comments, order and defaults written out do not
+ * count.
+ *
+ * @param changes one entry per key, ordered by path
+ */
+public record FleetDiff(List<Change> changes) {
+
+  /** Copies the list. */
+  public FleetDiff {
+    changes = List.copyOf(changes);
+  }
+
+  /**
+   * A key whose value differs.
+   *
+   * @param path full name of the key
+   * @param before value in the first file; empty if absent
+   * @param after value in the second file; empty if absent
+   */
+  public record Change(String path, String before, String after) {
+
+    /** Returns the change as one line that begins with +, - or ~. */
+    public String line() {
+      if (before.isEmpty()) {
+        return "+ " + path + " = " + after;
+      }
+      return after.isEmpty()
+          ? "- " + path + " = " + before
+          : "~ " + path + ": " + before + " -> " + after;
+    }
+  }
+
+  /** Compares two files. */
+  public static FleetDiff between(FleetFile before, FleetFile after) {
+    Map<String, String> old = flatten(before);
+    Map<String, String> fresh = flatten(after);
+    TreeSet<String> paths = new TreeSet<>(old.keySet());
+    paths.addAll(fresh.keySet());
+    return new FleetDiff(
+        paths.stream()
+            .filter(path -> !Objects.equals(old.get(path), fresh.get(path)))
+            .map(p -> new Change(p, old.getOrDefault(p, ""), fresh.getOrDefault(p, "")))
+            .toList());
+  }
+
+  /** Compares a file with no file. */
+  public static FleetDiff added(FleetFile file) {
+    return new FleetDiff(
+        flatten(file).entrySet().stream()
+            .map(entry -> new Change(entry.getKey(), "", entry.getValue()))
+            .toList());
+  }
+
+  /** Returns whether the files mean the same. */
+  public boolean isEmpty() {
+    return changes.isEmpty();
+  }
+
+  private static TreeMap<String, String> flatten(FleetFile file) {
+    TreeMap<String, String> keys = new TreeMap<>();
+    keys.put("deployment", file.deployment());
+    keys.put("key_retention_hours", String.valueOf(file.keyRetentionHours()));
+    keys.put("max_statements", String.valueOf(file.maxStatements()));
+    file.ranks()
+        .forEach(
+            (name, rank) -> {
+              String path = "ranks." + name + ".";
+              keys.put(path + "level", String.valueOf(rank.level()));
+              keys.put(path + "floor_percent", String.valueOf(rank.floorPercent()));
+              keys.put(path + "queue_limit", String.valueOf(rank.queueLimit()));
+            });
+    file.kinds()
+        .forEach(
+            (name, kind) -> {
+              String path = "kinds." + name + ".";
+              keys.put(path + "rank", kind.rank().name());
+              keys.put(path + "access", kind.access().fileName());
+              keys.put(path + "staleness_ms", String.valueOf(kind.stalenessMillis()));
+              keys.put(path + "repeatable", String.valueOf(kind.repeatable()));
+              keys.put(path + "deadline_ms", String.valueOf(kind.deadlineMillis()));
+            });
+    file.groups()
+        .forEach(
+            (name, group) -> {
+              String path = "groups." + name + ".";
+              keys.put(path + "databases", String.join(", ", group.databases()));
+              keys.put(
+                  path + "connections_per_database",
+                  String.valueOf(group.connectionsPerDatabase()));
+            });
+    return keys;
+  }
+}
