--- a/core/src/main/java/org/pollenspar/core/version/FleetFileParser.java
+++ b/core/src/main/java/org/pollenspar/core/version/FleetFileParser.java
@@ -1,12 +1,12 @@
 package org.pollenspar.core.version;
 
 import com.fasterxml.jackson.core.JacksonException;
+import com.fasterxml.jackson.core.JsonLocation;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import io.vavr.control.Either;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Locale;
 import org.pollenspar.core.process.ErrorKind;
 import org.pollenspar.core.process.PollensparError;
 
@@ -38,20 +38,34 @@
       JsonNode root = MAPPER.readTree(text);
       return new FleetFileChecker(fileName).check(root);
     } catch (JacksonException e) {
-      return refuse(syntaxError(fileName, e));
+      return refuse(syntaxError(fileName, text, e));
     }
   }
 
-  private static PollensparError syntaxError(String fileName, JacksonException e) {
-    int line = e.getLocation() == null ? 1 : Math.max(1, e.getLocation().getLineNr());
+  private static PollensparError syntaxError(String fileName, String text, JacksonException e) {
+    JsonLocation location = e.getLocation();
+    int line = location == null ? 1 : Math.max(1, location.getLineNr());
     String reason = e.getOriginalMessage().replaceAll("\\s+", " ").strip();
-    if (reason.toLowerCase(Locale.ROOT).contains("duplicate key")
-        || reason.toLowerCase(Locale.ROOT).contains("redefined")) {
-      return PollensparError.of(ErrorKind.DUPLICATE_NAME, fileName + ", line " + line, reason);
+    if (reason.contains("Duplicate key") || reason.contains("redefined")) {
+      boolean atLineStart = location != null && location.getColumnNr() <= 1;
+      List<String> lines = text.lines().toList();
+      int declaration = atLineStart ? lastDeclaration(lines, line - 1) : line;
+      String where = fileName + ", line " + declaration;
+      return PollensparError.of(
+          ErrorKind.DUPLICATE_NAME, where, lines.get(declaration - 1).strip());
     }
     return PollensparError.of(ErrorKind.FILE_SYNTAX, fileName, line, reason);
   }
 
+  /** The library reports a repeated key at the token that follows it, on a later line. */
+  private static int lastDeclaration(List<String> lines, int line) {
+    int current = Math.min(line, lines.size());
+    while (current > 1 && lines.get(current - 1).replaceAll("#.*", "").isBlank()) {
+      current--;
+    }
+    return Math.max(1, current);
+  }
+
   private static Either<List<PollensparError>, FleetFile> refuse(PollensparError error) {
     return Either.left(List.of(error));
   }
