Add gossip logic that spreads configuration and host list

Cause: calls to the platform must not grow with the fleet, and a new version must reach every process within seconds. Change: Spreader with typed actions; two watchers per failure domain, push to 4 peers on adoption, one digest exchange a second, pulls. A process that has not heard from a watcher for 5 s addresses its exchanges to watchers and asks the platform itself after 10 s, so that an outage of the platform does not make the whole fleet call it. Ruled out: a field with the age of the last platform contact in the digest, since it changes the wire format for little gain.

--- /dev/null
+++ b/core/src/main/java/org/pollenspar/core/version/PeerHealth.java
@@ -0,0 +1,56 @@
+package org.pollenspar.core.version;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.pollenspar.core.process.Host;
+import org.pollenspar.core.process.HostList;
+
+/** What this process noticed of its peers, ahead of the host list. */
+final class PeerHealth {
+  /** A peer that did not answer is avoided for this long; the host list says whether it is gone. */
+  private static final long AVOID_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  /** Twice the longest drain; a peer that is still there then was restarted under the same id. */
+  private static final long LEAVING_NANOS = TimeUnit.SECONDS.toNanos(60);
+
+  private final Map<String, Long> failedAt = new HashMap<>();
+  private final Map<String, Long> leavingSince = new HashMap<>();
+
+  void failed(String peer, long nowNanos) {
+    failedAt.put(peer, nowNanos);
+  }
+
+  void heard(String peer, boolean leaving, long nowNanos) {
+    failedAt.remove(peer);
+    if (leaving) {
+      leavingSince.put(peer, nowNanos);
+    } else {
+      leavingSince.remove(peer);
+    }
+  }
+
+  boolean anyFailure(long nowNanos) {
+    failedAt.values().removeIf(at -> nowNanos - at >= AVOID_NANOS);
+    return !failedAt.isEmpty();
+  }
+
+  boolean avoided(String peer, long nowNanos) {
+    Long at = failedAt.get(peer);
+    return at != null && nowNanos - at < AVOID_NANOS;
+  }
+
+  Set<String> leaving(long nowNanos) {
+    leavingSince.values().removeIf(since -> nowNanos - since >= LEAVING_NANOS);
+    return Set.copyOf(leavingSince.keySet());
+  }
+
+  /** Forgets peers that are not listed, so that the state stays bounded by the fleet. */
+  void retain(HostList list) {
+    Set<String> listed = list.hosts().stream().map(Host::id).collect(Collectors.toSet());
+    failedAt.keySet().retainAll(listed);
+    leavingSince.keySet().retainAll(listed);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/pollenspar/core/version/SpreadDigest.java
@@ -0,0 +1,19 @@
+package org.pollenspar.core.version;
+
+/**
+ * What a process says of itself in each exchange.
+ *
+ * @param configVersion its configuration version; 0 if it has none
+ * @param hostListRevision revision of its host list; 0 if it has none
+ * @param leaving whether it is shutting down
+ */
+public record SpreadDigest(long configVersion, long hostListRevision, boolean leaving) {
+
+  /** Returns the version of one kind of value. */
+  public long version(SpreadKind kind) {
+    return switch (kind) {
+      case CONFIGURATION -> configVersion;
+      case HOST_LIST -> hostListRevision;
+    };
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/pollenspar/core/version/Spreader.java
@@ -0,0 +1,303 @@
+package org.pollenspar.core.version;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.pollenspar.core.process.Host;
+import org.pollenspar.core.process.HostList;
+import org.pollenspar.core.process.HostRole;
+
+/**
+ * Spreads the configuration and the host list from a few watchers to the whole fleet by gossip.
+ *
+ * <p>Two live proxies per failure domain, chosen by rendezvous hashing over the host list, watch
+ * the platform. A process that adopts a newer value tells a few random peers at once; these pull it
+ * and tell others, so a value reaches nearly every process after a number of steps that grows with
+ * the logarithm of the fleet. Pushing alone would leave some processes out; therefore each process
+ * also exchanges a digest with one random peer a second, which repairs lost messages and cuts.
+ *
+ * <p>Invariant: the version of a value never goes back, in whatever order messages arrive. If every
+ * process watched the platform, its calls would grow with the fleet; here they grow with the number
+ * of failure domains. A process that has not heard from a watcher addresses its exchanges to the
+ * watchers, and only if none answers for {@link #SILENCE_NANOS} does it ask the platform itself.
+ *
+ * <p>Pure logic: time and randomness are passed in, and the caller carries out the returned
+ * actions. Not safe for use by several threads.
+ */
+public final class Spreader {
+  /** Time between two calls of {@link #tick}. */
+  public static final long TICK_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  /** Silence after which a process is on its own. */
+  public static final long SILENCE_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+  /** Most time that a digest or a fetch may take. */
+  public static final long PEER_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  /** Peers told at once of a new value; 4 reach 900 processes in about 5 steps. */
+  static final int PUSH_FANOUT = 4;
+
+  /** Two, so that the loss of one leaves its failure domain watched until the list changes. */
+  static final int WATCHERS_PER_DOMAIN = 2;
+
+  /** Half of the silence, so that several watchers can be tried before the platform is asked. */
+  private static final long WATCHER_PATIENCE_NANOS = SILENCE_NANOS / 2;
+
+  private final String ownId;
+  private final String ownDomain;
+  private final RandomGenerator random;
+  private final Map<SpreadKind, SpreadValue> values = new EnumMap<>(SpreadKind.class);
+  private final Map<SpreadKind, Long> refused = new EnumMap<>(SpreadKind.class);
+  private final Map<SpreadKind, PendingFetch> fetches = new EnumMap<>(SpreadKind.class);
+  private final PeerHealth health = new PeerHealth();
+  private HostList hosts = HostList.EMPTY;
+  private List<Host> peers = List.of();
+  private Map<String, Host> watchers = Map.of();
+  private boolean watching;
+  private boolean leaving;
+  private long lastContact;
+  private long lastWatcherContact;
+  private long nextAsk;
+
+  /**
+   * Creates the logic of one process.
+   *
+   * @param ownId id of this process in the host list
+   * @param ownDomain its failure domain
+   * @param random source of randomness
+   * @param nowNanos monotonic time
+   */
+  public Spreader(String ownId, String ownDomain, RandomGenerator random, long nowNanos) {
+    this.ownId = ownId;
+    this.ownDomain = ownDomain;
+    this.random = random;
+    this.lastContact = nowNanos;
+    this.lastWatcherContact = nowNanos;
+    this.nextAsk = nowNanos;
+  }
+
+  /** A pull that has not been answered. */
+  private record PendingFetch(String peer, long version, long untilNanos) {}
+
+  /** Starts the process: the platform is asked once. */
+  public List<SpreadAction> start(long nowNanos) {
+    return askPlatform(nowNanos);
+  }
+
+  /** Does the periodic work; to be called every {@link #TICK_NANOS}. */
+  public List<SpreadAction> tick(long nowNanos) {
+    List<SpreadAction> actions = new ArrayList<>();
+    exchangePartner(nowNanos).ifPresent(peer -> actions.add(digestTo(peer)));
+    boolean alone = nowNanos - lastWatcherContact > SILENCE_NANOS;
+    boolean unstarted = hosts.hosts().isEmpty();
+    if (!watching && (alone || unstarted) && nowNanos - nextAsk >= 0) {
+      actions.addAll(askPlatform(nowNanos));
+    }
+    return actions;
+  }
+
+  /** Takes a digest that a peer sent; the caller answers it with {@link #digest}. */
+  public List<SpreadAction> digestReceived(String from, SpreadDigest digest, long nowNanos) {
+    heardFrom(from, digest, nowNanos);
+    List<SpreadAction> actions = new ArrayList<>();
+    Optional<Host> peer = peer(from);
+    for (SpreadKind kind : SpreadKind.values()) {
+      peer.filter(p -> shouldFetch(kind, digest.version(kind), nowNanos))
+          .ifPresent(
+              p -> {
+                long until = nowNanos + PEER_TIMEOUT_NANOS;
+                fetches.put(kind, new PendingFetch(from, digest.version(kind), until));
+                actions.add(new SpreadAction.Fetch(p, kind));
+              });
+    }
+    return actions;
+  }
+
+  /** Takes the answer to a digest that this process sent. */
+  public List<SpreadAction> digestAcknowledged(String from, SpreadDigest digest, long nowNanos) {
+    return digestReceived(from, digest, nowNanos);
+  }
+
+  /** Takes a value that was pulled. */
+  public List<SpreadAction> valueReceived(String from, SpreadValue value, long nowNanos) {
+    lastContact = nowNanos;
+    fetches.remove(value.kind());
+    return adopt(value, nowNanos);
+  }
+
+  /** Takes note that a peer did not answer. */
+  public void peerFailed(String peer, long nowNanos) {
+    health.failed(peer, nowNanos);
+    fetches.values().removeIf(fetch -> fetch.peer().equals(peer));
+  }
+
+  /** Takes a value from the platform. */
+  public List<SpreadAction> platformValue(SpreadValue value, long nowNanos) {
+    platformContact(nowNanos);
+    return adopt(value, nowNanos);
+  }
+
+  /** Takes note that the platform answered, even if nothing changed. */
+  public void platformContact(long nowNanos) {
+    lastContact = nowNanos;
+    lastWatcherContact = nowNanos;
+  }
+
+  /** Remembers a value that cannot be used, so that it is not pulled again. */
+  public void refuse(SpreadKind kind, long version) {
+    refused.merge(kind, version, Math::max);
+    fetches.remove(kind);
+  }
+
+  /** Sets whether this process is shutting down, and tells some peers. */
+  public List<SpreadAction> leaving(boolean now, long nowNanos) {
+    leaving = now;
+    return push(nowNanos);
+  }
+
+  /** Returns what this process says of itself. */
+  public SpreadDigest digest() {
+    return new SpreadDigest(
+        version(SpreadKind.CONFIGURATION), version(SpreadKind.HOST_LIST), leaving);
+  }
+
+  /** Returns the value of a kind, if there is one. */
+  public Optional<SpreadValue> value(SpreadKind kind) {
+    return Optional.ofNullable(values.get(kind));
+  }
+
+  /** Returns the host list. */
+  public HostList hosts() {
+    return hosts;
+  }
+
+  /** Returns whether this process watches the platform. */
+  public boolean watching() {
+    return watching;
+  }
+
+  /**
+   * Returns whether neither the platform nor any peer was reached for {@link #SILENCE_NANOS},
+   * although other proxies are listed.
+   */
+  public boolean isolated(long nowNanos) {
+    return nowNanos - lastContact > SILENCE_NANOS
+        && hosts.live(HostRole.PROXY).anyMatch(host -> !host.id().equals(ownId));
+  }
+
+  /** Returns the peers that said that they are shutting down. */
+  public Set<String> leavingPeers(long nowNanos) {
+    return health.leaving(nowNanos);
+  }
+
+  private List<SpreadAction> adopt(SpreadValue value, long nowNanos) {
+    if (value.version() <= version(value.kind())) {
+      return List.of();
+    }
+    values.put(value.kind(), value);
+    List<SpreadAction> actions = new ArrayList<>();
+    actions.add(new SpreadAction.Adopted(value));
+    if (value instanceof SpreadValue.Hosts list) {
+      actions.addAll(useHosts(list.value()));
+    }
+    actions.addAll(push(nowNanos));
+    return actions;
+  }
+
+  private List<SpreadAction> useHosts(HostList list) {
+    hosts = list;
+    peers =
+        list.hosts().stream()
+            .filter(h -> h.role() != HostRole.BACKEND_SERVER && h.peerPort() > 0)
+            .filter(h -> h.state().acceptsNewWork() && !h.id().equals(ownId))
+            .toList();
+    Map<String, Host> chosen = WatcherChoice.watchers(list, WATCHERS_PER_DOMAIN);
+    boolean chosenNow = chosen.containsKey(ownId);
+    watchers = new HashMap<>(chosen);
+    watchers.remove(ownId);
+    health.retain(list);
+    if (chosenNow == watching) {
+      return List.of();
+    }
+    watching = chosenNow;
+    return List.of(new SpreadAction.WatchPlatform(watching));
+  }
+
+  private List<SpreadAction> push(long nowNanos) {
+    List<Host> remaining = new ArrayList<>(usable(peers, nowNanos));
+    List<SpreadAction> actions = new ArrayList<>();
+    while (actions.size() < PUSH_FANOUT && !remaining.isEmpty()) {
+      int index = random.nextInt(remaining.size());
+      actions.add(digestTo(remaining.get(index)));
+      remaining.set(index, remaining.get(remaining.size() - 1));
+      remaining.remove(remaining.size() - 1);
+    }
+    return actions;
+  }
+
+  private Optional<Host> exchangePartner(long nowNanos) {
+    if (!watching && nowNanos - lastWatcherContact > WATCHER_PATIENCE_NANOS) {
+      List<Host> known = usable(List.copyOf(watchers.values()), nowNanos);
+      List<Host> near = known.stream().filter(h -> h.domain().equals(ownDomain)).toList();
+      List<Host> candidates = near.isEmpty() ? known : near;
+      if (!candidates.isEmpty()) {
+        return pick(candidates);
+      }
+    }
+    List<Host> candidates = usable(peers, nowNanos);
+    return pick(candidates.isEmpty() ? peers : candidates);
+  }
+
+  private Optional<Host> pick(List<Host> candidates) {
+    return candidates.isEmpty()
+        ? Optional.empty()
+        : Optional.of(candidates.get(random.nextInt(candidates.size())));
+  }
+
+  private List<Host> usable(List<Host> candidates, long nowNanos) {
+    return health.anyFailure(nowNanos)
+        ? candidates.stream().filter(h -> !health.avoided(h.id(), nowNanos)).toList()
+        : candidates;
+  }
+
+  private boolean shouldFetch(SpreadKind kind, long offered, long nowNanos) {
+    if (offered <= version(kind) || offered <= refused.getOrDefault(kind, 0L)) {
+      return false;
+    }
+    PendingFetch pending = fetches.get(kind);
+    return pending == null || offered > pending.version() || nowNanos - pending.untilNanos() >= 0;
+  }
+
+  private void heardFrom(String from, SpreadDigest digest, long nowNanos) {
+    lastContact = nowNanos;
+    health.heard(from, digest.leaving(), nowNanos);
+    if (watchers.containsKey(from)) {
+      lastWatcherContact = nowNanos;
+    }
+  }
+
+  private List<SpreadAction> askPlatform(long nowNanos) {
+    long pause = hosts.hosts().isEmpty() ? TICK_NANOS : SILENCE_NANOS;
+    nextAsk = nowNanos + (long) (pause * (0.75 + 0.5 * random.nextDouble()));
+    return List.of(new SpreadAction.AskPlatform());
+  }
+
+  private SpreadAction digestTo(Host peer) {
+    return new SpreadAction.SendDigest(peer, digest());
+  }
+
+  private long version(SpreadKind kind) {
+    SpreadValue value = values.get(kind);
+    return value == null ? 0 : value.version();
+  }
+
+  private Optional<Host> peer(String id) {
+    return hosts.host(id);
+  }
+}
