Simulate gossip on fake time with faults

Cause: P9 and the bound on platform calls need a run that shows them. Change: SpreaderSimulation (loss, restarts, outage, region cut, 50 to 900 nodes) with a seeded jqwik property, examples for dead watchers, start from a peer, isolation and call counts, and a CSV of rounds and messages by size. Hosts are indexed by id; the linear search dominated at 900 nodes.

--- a/core/src/main/java/org/pollenspar/core/version/Spreader.java
+++ b/core/src/main/java/org/pollenspar/core/version/Spreader.java
@@ -57,6 +57,7 @@
   private final Map<SpreadKind, PendingFetch> fetches = new EnumMap<>(SpreadKind.class);
   private final PeerHealth health = new PeerHealth();
   private HostList hosts = HostList.EMPTY;
+  private Map<String, Host> hostsById = Map.of();
   private List<Host> peers = List.of();
   private Map<String, Host> watchers = Map.of();
   private boolean watching;
@@ -106,7 +107,7 @@
   public List<SpreadAction> digestReceived(String from, SpreadDigest digest, long nowNanos) {
     heardFrom(from, digest, nowNanos);
     List<SpreadAction> actions = new ArrayList<>();
-    Optional<Host> peer = peer(from);
+    Optional<Host> peer = Optional.ofNullable(hostsById.get(from));
     for (SpreadKind kind : SpreadKind.values()) {
       peer.filter(p -> shouldFetch(kind, digest.version(kind), nowNanos))
           .ifPresent(
@@ -212,6 +213,8 @@
 
   private List<SpreadAction> useHosts(HostList list) {
     hosts = list;
+    hostsById = new HashMap<>();
+    list.hosts().forEach(host -> hostsById.put(host.id(), host));
     peers =
         list.hosts().stream()
             .filter(h -> h.role() != HostRole.BACKEND_SERVER && h.peerPort() > 0)
@@ -296,8 +299,4 @@
     SpreadValue value = values.get(kind);
     return value == null ? 0 : value.version();
   }
-
-  private Optional<Host> peer(String id) {
-    return hosts.host(id);
-  }
 }
--- /dev/null
+++ b/core/src/test/java/org/pollenspar/core/version/SpreaderProperties.java
@@ -0,0 +1,166 @@
+package org.pollenspar.core.version;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+/**
+ * Guards against a version that goes back or does not reach every process (P9), and against calls
+ * to the platform that grow with the fleet.
+ *
+ * <p>Longer runs by {@code -Dpollenspar.tries=N}. {@code mvn -o -q -B -pl core test
+ * -Dtest=SpreaderProperties} writes {@code core/target/spreader-convergence.csv}.
+ */
+class SpreaderProperties {
+  /** Rounds of one second; the digest exchange alone needs about log2(900) = 10. */
+  private static final int MAX_ROUNDS = 20;
+
+  private static final int FAULT_MILLIS = 90_000;
+
+  @Property(seed = "51", tries = 8)
+  void faultsNeverTurnAVersionBack(@ForAll long seed) {
+    runWithFaults(seed);
+  }
+
+  @Example
+  void longRun() {
+    for (long seed = 1; seed <= Integer.getInteger("pollenspar.tries", 0); seed++) {
+      runWithFaults(seed);
+    }
+  }
+
+  private static void runWithFaults(long seed) {
+    Random random = new Random(seed);
+    SpreaderSimulation fleet = new SpreaderSimulation(50 + random.nextInt(851), seed);
+    fleet.publishConfiguration();
+    fleet.run(2_000);
+    fleet.loss = random.nextInt(20) / 100.0;
+    plan(fleet, random, random.nextInt(8), fleet::publishConfiguration);
+    plan(fleet, random, random.nextInt(3), fleet::publishHosts);
+    plan(fleet, random, random.nextInt(20), () -> restart(fleet, random));
+    plan(fleet, random, random.nextInt(3), () -> fleet.platformUp = !fleet.platformUp);
+    plan(fleet, random, random.nextInt(3), () -> fleet.regionCut = !fleet.regionCut);
+    fleet.run(FAULT_MILLIS);
+    fleet.platformUp = true;
+    fleet.regionCut = false;
+    fleet.publishConfiguration();
+    long millis = fleet.millisUntilConverged(MAX_ROUNDS * 1_000L);
+    assertTrue(fleet.converged(), () -> "not converged after " + millis + " ms, seed " + seed);
+  }
+
+  private static void plan(SpreaderSimulation fleet, Random random, int times, Runnable task) {
+    for (int i = 0; i < times; i++) {
+      fleet.after(random.nextInt(FAULT_MILLIS) * SpreaderSimulation.MILLI, task);
+    }
+  }
+
+  private static void restart(SpreaderSimulation fleet, Random random) {
+    SpreaderSimulation.Node node = fleet.nodes.get(random.nextInt(fleet.nodes.size()));
+    node.kill();
+    fleet.after(random.nextInt(5_000) * SpreaderSimulation.MILLI, node::start);
+  }
+
+  @Example
+  void platformCallsDoNotGrowWithTheFleet() {
+    for (int size : List.of(30, 900)) {
+      SpreaderSimulation fleet = new SpreaderSimulation(size, 7);
+      fleet.publishConfiguration();
+      fleet.run(30_000);
+      fleet.platformCalls = 0;
+      fleet.run(60_000);
+      // 8 watchers, two keys, one poll each 10 s.
+      assertEquals(8 * 2 * 6, fleet.platformCalls, 16, "healthy, " + size + " nodes");
+      fleet.platformUp = false;
+      fleet.run(20_000);
+      fleet.platformCalls = 0;
+      fleet.run(60_000);
+      // The watchers retry once a second; nobody else calls, since the watchers answer digests.
+      assertEquals(8 * 2 * 60, fleet.platformCalls, 16, "outage, " + size + " nodes");
+    }
+  }
+
+  @Example
+  void deadWatchersAreReplacedAndMeanwhileBypassed() {
+    SpreaderSimulation fleet = new SpreaderSimulation(60, 3);
+    fleet.publishConfiguration();
+    fleet.run(5_000);
+    List<SpreaderSimulation.Node> watchers =
+        fleet.nodes.stream().filter(n -> n.spreader.watching()).toList();
+    assertEquals(8, watchers.size());
+    watchers.forEach(SpreaderSimulation.Node::kill);
+    fleet.publishConfiguration();
+    long bypass = fleet.millisUntilConverged(MAX_ROUNDS * 1_000L);
+    assertTrue(fleet.converged(), "the fleet must ask the platform itself");
+    assertTrue(bypass > 1_000, "somebody had called the platform without need: " + bypass);
+    watchers.forEach(node -> node.listed = false);
+    fleet.publishHosts();
+    fleet.run(30_000);
+    assertEquals(8, fleet.nodes.stream().filter(n -> n.alive && n.spreader.watching()).count());
+  }
+
+  @Example
+  void startsFromAPeerWhileThePlatformHasNoConfigurationToGive() {
+    SpreaderSimulation fleet = new SpreaderSimulation(30, 5);
+    fleet.publishConfiguration();
+    fleet.run(3_000);
+    SpreaderSimulation.Node node = fleet.nodes.get(4);
+    node.kill();
+    node.start();
+    fleet.run(4);
+    fleet.platformUp = false;
+    assertTrue(fleet.millisUntilConverged(5_000) < 5_000);
+  }
+
+  @Example
+  void regionCutIsolatesNobodyButOneNodeAlone() {
+    SpreaderSimulation fleet = new SpreaderSimulation(40, 9);
+    fleet.publishConfiguration();
+    fleet.run(3_000);
+    fleet.regionCut = true;
+    fleet.run(30_000);
+    assertTrue(fleet.nodes.stream().noneMatch(n -> isolated(fleet, n)));
+    fleet.regionCut = false;
+    fleet.loss = 1;
+    fleet.platformUp = false;
+    fleet.run(30_000);
+    assertTrue(fleet.nodes.stream().allMatch(n -> isolated(fleet, n)));
+  }
+
+  private static boolean isolated(SpreaderSimulation fleet, SpreaderSimulation.Node node) {
+    return node.spreader.isolated(fleet.nowMillis() * SpreaderSimulation.MILLI);
+  }
+
+  @Example
+  void convergenceBySize() throws IOException {
+    StringBuilder csv =
+        new StringBuilder("nodes,loss,rounds,millis,messages_per_node,idle_messages_per_node_s\n");
+    for (int size : List.of(30, 100, 300, 900)) {
+      for (double loss : List.of(0.0, 0.1)) {
+        SpreaderSimulation fleet = new SpreaderSimulation(size, 11);
+        fleet.publishConfiguration();
+        fleet.run(10_000);
+        fleet.loss = loss;
+        fleet.messages = 0;
+        fleet.run(10_000);
+        double idle = fleet.messages / 10.0 / size;
+        fleet.messages = 0;
+        fleet.publishConfiguration();
+        long millis = fleet.millisUntilConverged(MAX_ROUNDS * 1_000L);
+        assertTrue(fleet.converged());
+        double perNode = fleet.messages / (double) size;
+        csv.append(
+            "%d,%.1f,%d,%d,%.1f,%.1f\n"
+                .formatted(size, loss, (millis + 999) / 1_000, millis, perNode, idle));
+      }
+    }
+    Files.writeString(Path.of("target/spreader-convergence.csv"), csv);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/pollenspar/core/version/SpreaderSimulation.java
@@ -0,0 +1,289 @@
+package org.pollenspar.core.version;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.pollenspar.core.process.Host;
+import org.pollenspar.core.process.HostList;
+import org.pollenspar.core.process.HostRole;
+import org.pollenspar.core.process.HostState;
+
+/**
+ * A fleet of spreaders on fake time with message loss, restarts, platform outages and a cut between
+ * two regions. Every adopted value is checked to be newer than the one before.
+ */
+final class SpreaderSimulation {
+  static final long MILLI = 1_000_000L;
+  private static final int DOMAINS = 4;
+
+  final List<Node> nodes = new ArrayList<>();
+  double loss;
+  boolean platformUp = true;
+  boolean regionCut;
+  long messages;
+  long platformCalls;
+  private final Random random;
+  private final PriorityQueue<Event> events = new PriorityQueue<>();
+  private final Map<SpreadKind, SpreadValue> platform = new EnumMap<>(SpreadKind.class);
+  private long now;
+  private long sequence;
+
+  SpreaderSimulation(int count, long seed) {
+    this.random = new Random(seed);
+    for (int i = 0; i < count; i++) {
+      nodes.add(new Node(i));
+    }
+    publishHosts();
+    nodes.forEach(Node::start);
+  }
+
+  /** Something that happens at a time; the sequence keeps the order of equal times. */
+  private record Event(long at, long sequence, Runnable task) implements Comparable<Event> {
+    @Override
+    public int compareTo(Event other) {
+      int byTime = Long.compare(at, other.at);
+      return byTime != 0 ? byTime : Long.compare(sequence, other.sequence);
+    }
+  }
+
+  long nowMillis() {
+    return now / MILLI;
+  }
+
+  void after(long nanos, Runnable task) {
+    events.add(new Event(now + nanos, sequence++, task));
+  }
+
+  void run(long millis) {
+    long end = now + millis * MILLI;
+    while (!events.isEmpty() && events.peek().at() <= end) {
+      Event event = events.remove();
+      now = event.at();
+      event.task().run();
+    }
+    now = end;
+  }
+
+  /** Runs until every live node holds the platform's configuration; returns the time taken. */
+  long millisUntilConverged(long limitMillis) {
+    long start = now;
+    while (!converged() && now - start < limitMillis * MILLI) {
+      run(5);
+    }
+    return (now - start) / MILLI;
+  }
+
+  boolean converged() {
+    long version = platform.get(SpreadKind.CONFIGURATION).version();
+    return nodes.stream().allMatch(n -> !n.alive || n.version(SpreadKind.CONFIGURATION) == version);
+  }
+
+  void publishConfiguration() {
+    long next = platformVersion(SpreadKind.CONFIGURATION) + 1;
+    ConfigurationVersion value =
+        new ConfigurationVersion(next, "a" + next, "test", "", "", List.of());
+    publish(new SpreadValue.Configuration(value));
+  }
+
+  void publishHosts() {
+    List<Host> hosts = nodes.stream().filter(n -> n.listed).map(n -> n.host).toList();
+    publish(new SpreadValue.Hosts(new HostList(platformVersion(SpreadKind.HOST_LIST) + 1, hosts)));
+  }
+
+  private long platformVersion(SpreadKind kind) {
+    SpreadValue value = platform.get(kind);
+    return value == null ? 0 : value.version();
+  }
+
+  private void publish(SpreadValue value) {
+    platform.put(value.kind(), value);
+    for (Node node : nodes) {
+      if (node.polling && reachesPlatform(node)) {
+        platformCalls++;
+        node.later(2 * MILLI, () -> node.perform(node.spreader.platformValue(value, now)));
+      }
+    }
+  }
+
+  private boolean reachesPlatform(Node node) {
+    return platformUp && (!regionCut || node.region() == 0);
+  }
+
+  private boolean delivered(Node from, Node to) {
+    boolean cut = regionCut && from.region() != to.region();
+    return to.alive && !cut && random.nextDouble() >= loss;
+  }
+
+  /** Sends a request and its response; both can be lost, and the sender notices by timeout. */
+  private <T> void request(Node from, Host to, Function<Node, T> handler, Consumer<T> onResponse) {
+    Node receiver = nodes.get(Integer.parseInt(to.id().substring(1)));
+    messages++;
+    Runnable timeout = () -> from.spreader.peerFailed(to.id(), now);
+    if (!delivered(from, receiver)) {
+      from.later(Spreader.PEER_TIMEOUT_NANOS, timeout);
+      return;
+    }
+    int life = from.life;
+    receiver.later(
+        latency(),
+        () -> {
+          T response = handler.apply(receiver);
+          messages++;
+          if (!delivered(receiver, from)) {
+            from.later(Spreader.PEER_TIMEOUT_NANOS, timeout);
+          } else if (from.life == life) {
+            from.later(latency(), () -> onResponse.accept(response));
+          }
+        });
+  }
+
+  private long latency() {
+    return MILLI + random.nextInt((int) (4 * MILLI));
+  }
+
+  /** One process, restarted under the same id. */
+  final class Node {
+    final Host host;
+    Spreader spreader;
+    boolean alive = true;
+    boolean listed = true;
+    boolean polling;
+    private int life;
+    private final Map<SpreadKind, Long> seen = new EnumMap<>(SpreadKind.class);
+
+    Node(int index) {
+      String domain = "d" + index % DOMAINS;
+      String region = "r" + region(index);
+      this.host =
+          new Host(
+              "n" + index,
+              "127.0.0.1",
+              1,
+              1,
+              1,
+              domain,
+              region,
+              HostRole.PROXY,
+              HostState.LIVE,
+              List.of());
+      this.spreader = newSpreader();
+    }
+
+    private static int region(int index) {
+      return index % DOMAINS / 2;
+    }
+
+    int region() {
+      return region(Integer.parseInt(host.id().substring(1)));
+    }
+
+    private Spreader newSpreader() {
+      return new Spreader(host.id(), host.domain(), new Random(random.nextLong()), now);
+    }
+
+    void start() {
+      life++;
+      alive = true;
+      polling = false;
+      seen.clear();
+      spreader = newSpreader();
+      perform(spreader.start(now));
+      later((long) (random.nextDouble() * Spreader.TICK_NANOS), this::tick);
+    }
+
+    void kill() {
+      alive = false;
+      polling = false;
+      life++;
+    }
+
+    long version(SpreadKind kind) {
+      return spreader.value(kind).map(SpreadValue::version).orElse(0L);
+    }
+
+    void later(long nanos, Runnable task) {
+      int current = life;
+      after(
+          nanos,
+          () -> {
+            if (alive && life == current) {
+              task.run();
+            }
+          });
+    }
+
+    private void tick() {
+      perform(spreader.tick(now));
+      later(Spreader.TICK_NANOS, this::tick);
+    }
+
+    void perform(List<SpreadAction> actions) {
+      for (SpreadAction action : actions) {
+        if (action instanceof SpreadAction.SendDigest send) {
+          sendDigest(send);
+        } else if (action instanceof SpreadAction.Fetch fetch) {
+          fetch(fetch);
+        } else if (action instanceof SpreadAction.Adopted adopted) {
+          checkNewer(adopted.value());
+        } else if (action instanceof SpreadAction.AskPlatform) {
+          later(3 * MILLI, this::readPlatform);
+        } else if (action instanceof SpreadAction.WatchPlatform watch && watch.active()) {
+          later(MILLI, this::poll);
+        }
+      }
+    }
+
+    private void sendDigest(SpreadAction.SendDigest send) {
+      request(
+          this,
+          send.to(),
+          to -> {
+            SpreadDigest answer = to.spreader.digest();
+            to.perform(to.spreader.digestReceived(host.id(), send.digest(), now));
+            return answer;
+          },
+          answer -> perform(spreader.digestAcknowledged(send.to().id(), answer, now)));
+    }
+
+    private void fetch(SpreadAction.Fetch fetch) {
+      request(
+          this,
+          fetch.from(),
+          from -> from.spreader.value(fetch.kind()),
+          (Optional<SpreadValue> value) ->
+              value.ifPresent(v -> perform(spreader.valueReceived(fetch.from().id(), v, now))));
+    }
+
+    private void readPlatform() {
+      platformCalls += 2;
+      if (reachesPlatform(this)) {
+        spreader.platformContact(now);
+        List.copyOf(platform.values()).forEach(v -> perform(spreader.platformValue(v, now)));
+      }
+    }
+
+    /** A long poll of 10 s; answers at once if the platform has something newer. */
+    private void poll() {
+      polling = spreader.watching();
+      if (!polling) {
+        return;
+      }
+      readPlatform();
+      later(reachesPlatform(this) ? 10_000 * MILLI : 1_000 * MILLI, this::poll);
+    }
+
+    private void checkNewer(SpreadValue value) {
+      Long before = seen.put(value.kind(), value.version());
+      if (before != null && before >= value.version()) {
+        throw new AssertionError(
+            host.id() + ": " + value.kind() + " went from " + before + " to " + value.version());
+      }
+    }
+  }
+}
