--- a/core/src/main/java/org/pollenspar/core/request/WriteProgress.java
+++ b/core/src/main/java/org/pollenspar/core/request/WriteProgress.java
@@ -26,6 +26,9 @@
  */
 public final class WriteProgress {
 
+  /** Ten successes refill one retry; at the least load of a rank that takes about this long. */
+  private static final long BUDGET_WAIT_MILLIS = 100;
+
   private enum Phase {
     IDLE,
     OPENING,
@@ -46,6 +49,7 @@
   private @Nullable Primary primary;
   private @Nullable Outcome atCommit;
   private @Nullable Outcome atMajority;
+  private @Nullable Position awaited;
   private WriteDecision.@Nullable Answer answer;
 
   /**
@@ -108,8 +112,8 @@
       return committed(committed.state(), nowNanos);
     } else if (event instanceof WriteEvent.MajorityHeld) {
       return majorityHeld();
-    } else if (event instanceof WriteEvent.Failed failed) {
-      return failed(failed.error(), nowNanos);
+    } else if (event instanceof WriteEvent.Failed) {
+      return failed(nowNanos);
     } else if (event instanceof WriteEvent.NotPrimary) {
       return termChanged(currentTerm() + 1, nowNanos);
     } else if (event instanceof WriteEvent.Superseded superseded) {
@@ -205,11 +209,12 @@
       throw new IllegalStateException("A key was busy in step " + phase + ".");
     }
     mayHaveCommitted = true;
-    return failed(PollensparError.of(ErrorKind.KEY_IN_PROGRESS, key), nowNanos);
+    return failed(nowNanos);
   }
 
   private WriteDecision await(Outcome outcome, Position position) {
     phase = Phase.AWAITING;
+    awaited = position;
     atMajority = outcome instanceof Outcome.Done done ? done(done.results(), position) : outcome;
     return new WriteDecision.AwaitMajority(position);
   }
@@ -237,12 +242,16 @@
     return tryAgain();
   }
 
-  private WriteDecision failed(PollensparError error, long nowNanos) {
+  private WriteDecision failed(long nowNanos) {
+    if (phase == Phase.AWAITING && atMajority != null && awaited != null) {
+      return new WriteDecision.AwaitMajority(awaited);
+    }
     if (request.remainingNanos(nowNanos) <= 0) {
       return end(PollensparError.of(ErrorKind.DEADLINE_EXPIRED), 0);
     }
-    if (!budget.tryTake(request.kind().rank())) {
-      return end(error, 0);
+    Rank rank = request.kind().rank();
+    if (!budget.tryTake(rank)) {
+      return end(PollensparError.of(ErrorKind.RETRY_BUDGET_SPENT, rank.name()), BUDGET_WAIT_MILLIS);
     }
     return tryAgain();
   }
