Add database stand-in that executes a table language

The proxy and the failover agent need databases that really commit, lock, replicate and diverge. The stand-in speaks the PostgreSQL protocol on Netty (simple queries), keeps rows and a log of committed transactions in memory and pushes the log to its replicas over HTTP.

Every term opens with an empty log entry, and log_term is the term of the last entry. Reporting the term that a replica merely follows was ruled out: a lagging replica of the new term could then outrank, in the next promotion, a database that holds more acknowledged entries.

Service time is a fair semaphore of workers; a wait for a row occupies none. A running query goes on when its caller is gone, as in PostgreSQL. Losing entries or the primary role ends all connections, as a rewound server does.

--- /dev/null
+++ b/standin/src/main/java/org/pollenspar/standin/connection/DatabaseSession.java
@@ -0,0 +1,197 @@
+package org.pollenspar.standin.connection;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.pollenspar.standin.connection.BackendWriter.Status;
+
+/**
+ * One connection to the database. The event loop receives messages; queries run one after another
+ * on a thread of their own, since they wait for rows and for service time.
+ */
+final class DatabaseSession extends SimpleChannelInboundHandler<FrontendMessage> {
+  private static final int GARBAGE_BYTES = 64;
+
+  private final SessionContext shared;
+  private final QueryRunner runner;
+  private final int processId;
+  private final int secret = ThreadLocalRandom.current().nextInt();
+  private final Deque<Runnable> tasks = new ArrayDeque<>();
+  private boolean running;
+  private boolean skipToSync;
+  private volatile boolean closed;
+  private volatile @Nullable ChannelHandlerContext channel;
+
+  DatabaseSession(SessionContext shared) {
+    this.shared = shared;
+    this.runner = new QueryRunner(shared.engine(), shared.service());
+    this.processId = shared.sessions().nextProcessId();
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext context) {
+    channel = context;
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, FrontendMessage message) {
+    if (message instanceof FrontendMessage.Encryption) {
+      context.writeAndFlush(Unpooled.wrappedBuffer(new byte[] {'N'}));
+    } else if (message instanceof FrontendMessage.Cancel cancel) {
+      shared.sessions().cancel(cancel.processId(), cancel.secret());
+      context.close();
+    } else if (message instanceof FrontendMessage.Startup) {
+      startUp(context);
+    } else if (message instanceof FrontendMessage.Query query) {
+      enqueue(() -> answer(context, query.sql()));
+    } else if (message instanceof FrontendMessage.Unsupported unsupported) {
+      refuse(context, unsupported.type());
+    } else if (message instanceof FrontendMessage.Sync) {
+      sync(context);
+    } else {
+      context.close();
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    // As in PostgreSQL, a running query goes on when its caller is gone.
+    closed = true;
+    enqueue(
+        () -> {
+          runner.close();
+          shared.sessions().leave(processId);
+        });
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    context.close();
+  }
+
+  void cancel(int givenSecret) {
+    if (givenSecret == secret) {
+      runner.cancel();
+    }
+  }
+
+  void terminate() {
+    ChannelHandlerContext context = channel;
+    if (context != null) {
+      context.executor().execute(() -> sendFatal(context, "57P01", "terminating connection"));
+    }
+  }
+
+  private void startUp(ChannelHandlerContext context) {
+    if (shared.faults().frozen) {
+      return;
+    }
+    if (shared.faults().rejectConnections) {
+      sendFatal(context, "57P03", "the database system is not accepting connections");
+      return;
+    }
+    if (!shared.sessions().enter(processId, this)) {
+      sendFatal(context, "53300", "sorry, too many clients already");
+      return;
+    }
+    Runnable accept =
+        () -> {
+          BackendWriter out = new BackendWriter(context.alloc().buffer());
+          out.authenticationOk(processId, secret);
+          out.readyForQuery(Status.IDLE);
+          context.writeAndFlush(out.buffer());
+        };
+    context.executor().schedule(accept, shared.connectMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  private static void sendFatal(ChannelHandlerContext context, String state, String message) {
+    BackendWriter out = new BackendWriter(context.alloc().buffer());
+    out.error("FATAL", state, message);
+    context.writeAndFlush(out.buffer()).addListener(ChannelFutureListener.CLOSE);
+  }
+
+  private void refuse(ChannelHandlerContext context, char type) {
+    if (!skipToSync) {
+      skipToSync = true;
+      BackendWriter out = new BackendWriter(context.alloc().buffer());
+      out.error("ERROR", "0A000", "message '" + type + "': only simple queries are supported");
+      context.writeAndFlush(out.buffer());
+    }
+  }
+
+  private void sync(ChannelHandlerContext context) {
+    skipToSync = false;
+    BackendWriter out = new BackendWriter(context.alloc().buffer());
+    out.readyForQuery(Status.IDLE);
+    context.writeAndFlush(out.buffer());
+  }
+
+  private void answer(ChannelHandlerContext context, String sql) {
+    if (closed) {
+      return;
+    }
+    BackendWriter out = new BackendWriter(context.alloc().buffer());
+    try {
+      runner.run(sql, out);
+      TimeUnit.MILLISECONDS.sleep(shared.faults().latencyMillis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      out.buffer().release();
+      context.close();
+      return;
+    }
+    send(context, out.buffer());
+  }
+
+  private void send(ChannelHandlerContext context, ByteBuf answer) {
+    DatabaseFaults faults = shared.faults();
+    if (faults.frozen) {
+      answer.release();
+    } else if (runner.committed() && DatabaseFaults.take(faults.lostCommitAnswers)) {
+      answer.release();
+      context.close();
+    } else if (DatabaseFaults.take(faults.garbageAnswers)) {
+      answer.release();
+      byte[] garbage = new byte[GARBAGE_BYTES];
+      ThreadLocalRandom.current().nextBytes(garbage);
+      context.writeAndFlush(Unpooled.wrappedBuffer(garbage));
+    } else if (DatabaseFaults.take(faults.cutAnswers)) {
+      answer.writerIndex(answer.readableBytes() / 2);
+      context.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
+    } else {
+      context.writeAndFlush(answer);
+    }
+  }
+
+  private void enqueue(Runnable task) {
+    synchronized (tasks) {
+      tasks.add(task);
+      if (running) {
+        return;
+      }
+      running = true;
+    }
+    shared.threads().execute(this::drain);
+  }
+
+  private void drain() {
+    while (true) {
+      Runnable next;
+      synchronized (tasks) {
+        next = tasks.poll();
+        if (next == null) {
+          running = false;
+          return;
+        }
+      }
+      next.run();
+    }
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/pollenspar/standin/connection/SessionRegistry.java
@@ -0,0 +1,70 @@
+package org.pollenspar.standin.connection;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** The open connections of a database, with the limit on their number. */
+public final class SessionRegistry {
+  private final Map<Integer, DatabaseSession> sessions = new ConcurrentHashMap<>();
+  private final AtomicInteger open = new AtomicInteger();
+  private final AtomicInteger maximum = new AtomicInteger();
+  private final AtomicInteger nextProcessId = new AtomicInteger();
+  private final AtomicLong refused = new AtomicLong();
+  private final int limit;
+
+  /** Creates the registry. */
+  public SessionRegistry(int limit) {
+    this.limit = limit;
+  }
+
+  /** Returns the number of open connections. */
+  public int open() {
+    return open.get();
+  }
+
+  /** Returns the largest number of connections that were open at once. */
+  public int maximum() {
+    return maximum.get();
+  }
+
+  /** Returns the number of connections refused because of the limit. */
+  public long refused() {
+    return refused.get();
+  }
+
+  /** Ends all connections as a restarting server does. */
+  public void terminateAll() {
+    sessions.values().forEach(DatabaseSession::terminate);
+  }
+
+  int nextProcessId() {
+    return nextProcessId.incrementAndGet();
+  }
+
+  boolean enter(int processId, DatabaseSession session) {
+    int now = open.incrementAndGet();
+    if (now > limit) {
+      open.decrementAndGet();
+      refused.incrementAndGet();
+      return false;
+    }
+    maximum.accumulateAndGet(now, Math::max);
+    sessions.put(processId, session);
+    return true;
+  }
+
+  void leave(int processId) {
+    if (sessions.remove(processId) != null) {
+      open.decrementAndGet();
+    }
+  }
+
+  void cancel(int processId, int secret) {
+    DatabaseSession session = sessions.get(processId);
+    if (session != null) {
+      session.cancel(secret);
+    }
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/pollenspar/standin/connection/package-info.java
@@ -0,0 +1,5 @@
+/** One connection of a caller to the database stand-in. */
+@NullMarked
+package org.pollenspar.standin.connection;
+
+import org.jspecify.annotations.NullMarked;
--- a/standin/src/main/java/org/pollenspar/standin/package-info.java
+++ /dev/null
@@ -1,5 +0,0 @@
-/** Placeholder. */
-@NullMarked
-package org.pollenspar.standin;
-
-import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/standin/src/main/java/org/pollenspar/standin/process/DatabaseControl.java
@@ -0,0 +1,147 @@
+package org.pollenspar.standin.process;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.pollenspar.core.connection.DatabaseState;
+import org.pollenspar.net.request.HttpCall;
+import org.pollenspar.net.request.HttpHandler;
+import org.pollenspar.net.request.HttpReply;
+import org.pollenspar.standin.connection.DatabaseFaults;
+import org.pollenspar.standin.connection.ServiceTime;
+import org.pollenspar.standin.connection.SessionRegistry;
+import org.pollenspar.standin.version.AppendRequest;
+import org.pollenspar.standin.version.DatabaseEngine;
+import org.pollenspar.standin.version.EngineCounters;
+
+/**
+ * The control API of a database: {@code GET /status} and {@code POST /faults} for tests, and the
+ * links of the platform and of other databases, which the fault {@code cut_off} cuts.
+ */
+final class DatabaseControl implements HttpHandler {
+  private static final HttpReply CUT_OFF = HttpReply.json(503, "{\"error\": \"cut off\"}");
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  private final ObjectMapper json = new ObjectMapper();
+  private final DatabaseEngine engine;
+  private final EngineCounters counters;
+  private final DatabaseFaults faults;
+  private final ServiceTime service;
+  private final SessionRegistry sessions;
+  private final Replication replication;
+
+  DatabaseControl(
+      DatabaseEngine engine,
+      EngineCounters counters,
+      DatabaseFaults faults,
+      ServiceTime service,
+      SessionRegistry sessions,
+      Replication replication) {
+    this.engine = engine;
+    this.counters = counters;
+    this.faults = faults;
+    this.service = service;
+    this.sessions = sessions;
+    this.replication = replication;
+  }
+
+  @Override
+  public CompletionStage<HttpReply> handle(HttpCall call) {
+    try {
+      return CompletableFuture.completedFuture(reply(call));
+    } catch (JsonProcessingException | IllegalArgumentException e) {
+      ObjectNode error = json.createObjectNode().put("error", String.valueOf(e.getMessage()));
+      return CompletableFuture.completedFuture(HttpReply.json(400, error.toString()));
+    }
+  }
+
+  private HttpReply reply(HttpCall call) throws JsonProcessingException {
+    switch (call.path()) {
+      case "/status":
+        return HttpReply.json(200, status().toString());
+      case "/faults":
+        changeFaults(json.readTree(call.body()));
+        return HttpReply.json(200, "{}");
+      default:
+        return faults.cutOff ? CUT_OFF : link(call);
+    }
+  }
+
+  private HttpReply link(HttpCall call) throws JsonProcessingException {
+    switch (call.path()) {
+      case "/state":
+        return HttpReply.json(200, stateJson().toString());
+      case "/fence":
+        long term = json.readTree(call.body()).path("term").asLong();
+        return orderReply(engine.fence(term));
+      case "/promote":
+        return orderReply(promote(json.readValue(call.body(), PromoteRequest.class)));
+      case "/append":
+        AppendRequest request = json.readValue(call.body(), AppendRequest.class);
+        return HttpReply.json(
+            200, json.writeValueAsString(engine.append(request, faults.lagMillis)));
+      default:
+        return HttpReply.json(404, "{\"error\": \"no such path\"}");
+    }
+  }
+
+  boolean promote(PromoteRequest order) {
+    boolean leading = engine.leadership().filter(led -> led == order.term()).isPresent();
+    boolean accepted = engine.promote(order.term());
+    if (accepted && !leading) {
+      replication.lead(order);
+    }
+    return accepted;
+  }
+
+  private HttpReply orderReply(boolean accepted) {
+    return HttpReply.json(accepted ? 200 : 409, stateJson().toString());
+  }
+
+  private ObjectNode stateJson() {
+    DatabaseState state = engine.state();
+    return json.createObjectNode()
+        .put("id", state.databaseId())
+        .put("role", state.role().wireName())
+        .put("fenced_term", state.fencedTerm())
+        .put("log_term", state.logTerm())
+        .put("offset", state.logOffset());
+  }
+
+  private ObjectNode status() {
+    return stateJson()
+        .put("connections", sessions.open())
+        .put("max_connections_seen", sessions.maximum())
+        .put("refused_connections", sessions.refused())
+        .put("read_statements", counters.reads.sum())
+        .put("write_statements", counters.writes.sum())
+        .put("commits", counters.commits.sum())
+        .put("rollbacks", counters.rollbacks.sum())
+        .put("truncated_entries", counters.truncatedEntries.sum())
+        .put("mixed_owner_transactions", counters.mixedOwners.sum())
+        .put("key_records", engine.rowCount(DatabaseEngine.KEY_TABLE));
+  }
+
+  private void changeFaults(JsonNode wanted) {
+    wanted.fields().forEachRemaining(field -> changeFault(field.getKey(), field.getValue()));
+  }
+
+  private void changeFault(String name, JsonNode value) {
+    switch (name) {
+      case "reject_connections" -> faults.rejectConnections = value.asBoolean();
+      case "frozen" -> faults.frozen = value.asBoolean();
+      case "cut_off" -> faults.cutOff = value.asBoolean();
+      case "latency_ms" -> faults.latencyMillis = value.asLong();
+      case "lag_ms" -> faults.lagMillis = value.asLong();
+      case "service_ms" -> service.change((long) (value.asDouble() * NANOS_PER_MILLI));
+      case "garbage_answers" -> faults.garbageAnswers.set(value.asInt());
+      case "cut_answers" -> faults.cutAnswers.set(value.asInt());
+      case "lost_commit_answers" -> faults.lostCommitAnswers.set(value.asInt());
+      case "drop_connections" -> sessions.terminateAll();
+      default -> throw new IllegalArgumentException("unknown fault \"" + name + "\"");
+    }
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/pollenspar/standin/request/Column.java
@@ -0,0 +1,10 @@
+package org.pollenspar.standin.request;
+
+/**
+ * A column of a table or of a result.
+ *
+ * @param name name in lower case
+ * @param type type
+ * @param primaryKey whether it is the table's primary key
+ */
+public record Column(String name, ColumnType type, boolean primaryKey) {}
--- /dev/null
+++ b/standin/src/main/java/org/pollenspar/standin/request/QueryResult.java
@@ -0,0 +1,20 @@
+package org.pollenspar.standin.request;
+
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The result of one statement.
+ *
+ * @param tag command tag, for example {@code UPDATE 1}
+ * @param columns result columns; empty if the statement returns no rows
+ * @param rows rows in text form
+ */
+public record QueryResult(
+    String tag, List<Column> columns, List<? extends List<@Nullable String>> rows) {
+
+  /** Returns a result without rows. */
+  public static QueryResult ofTag(String tag) {
+    return new QueryResult(tag, List.of(), List.of());
+  }
+}
--- /dev/null
+++ b/standin/src/test/java/org/pollenspar/standin/process/DatabaseStatus.java
@@ -0,0 +1,14 @@
+package org.pollenspar.standin.process;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
+
+/** Reads GET /status of a database. */
+final class DatabaseStatus {
+  private DatabaseStatus() {}
+
+  static JsonNode of(DatabaseStandin database) throws Exception {
+    return new ControlClient(Duration.ofSeconds(5))
+        .read("127.0.0.1", database.controlPort(), "/status");
+  }
+}
