--- /dev/null
+++ b/core/src/main/java/org/pollenspar/core/process/GroupSummary.java
@@ -0,0 +1,19 @@
+package org.pollenspar.core.process;
+
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * The platform's view of a group.
+ *
+ * @param term highest term granted
+ * @param primary primary of the last promotion
+ * @param unreachable databases that the platform does not reach
+ */
+public record GroupSummary(long term, Optional<String> primary, Set<String> unreachable) {
+
+  /** Copies the set. */
+  public GroupSummary {
+    unreachable = Set.copyOf(unreachable);
+  }
+}
