--- a/net/src/main/java/org/pollenspar/net/process/HttpService.java
+++ b/net/src/main/java/org/pollenspar/net/process/HttpService.java
@@ -20,7 +20,7 @@
 import org.pollenspar.core.process.ErrorKind;
 import org.pollenspar.core.process.PollensparError;
 import org.pollenspar.net.connection.ConnectionDeadlines;
-import org.pollenspar.net.request.HttpCall;
+import org.pollenspar.net.request.BodyCollector;
 import org.pollenspar.net.request.HttpExchange;
 import org.pollenspar.net.request.HttpHandler;
 import org.pollenspar.net.request.HttpReply;
@@ -80,6 +80,8 @@
     // Replies never block the thread that writes them; MAX_UNREAD_REPLY_BYTES bounds the queue.
     listener.setMaxPendingBytes(-1);
     listener.registerAddOn(deadlines);
+    listener.registerAddOn(new BodyCollector(maxBodyBytes));
+    listener.getFileCache().setEnabled(false);
     TCPNIOTransport transport = listener.getTransport();
     transport.setIOStrategy(SameThreadIOStrategy.getInstance());
     transport.setReuseAddress(true);
@@ -92,7 +94,6 @@
             .setMaxPoolSize(threads)
             .setDaemon(true));
     server.addListener(listener);
-    server.getServerConfiguration().setMaxPayloadRemainderToSkip(4L * maxBodyBytes);
     server.getServerConfiguration().addHttpHandler(new GrizzlyHandler(), "/");
   }
 
@@ -118,8 +119,8 @@
   }
 
   /**
-   * Closes the listening socket. Requests on open connections are still answered, with {@code
-   * Connection: close}.
+   * Closes the listening socket; the kernel refuses connections within milliseconds. Requests on
+   * open connections are still answered, with {@code Connection: close}.
    */
   public void stopAccepting() {
     accepting = false;
@@ -134,27 +135,26 @@
     server.shutdownNow();
   }
 
-  private void answer(HttpCall call, HttpExchange exchange, Connection<?> connection) {
+  private void answer(HttpExchange exchange) throws IOException {
     CompletionStage<HttpReply> stage;
     try {
-      stage = handler.handle(call);
+      stage = handler.handle(exchange.call());
     } catch (RuntimeException e) {
-      reply(internalError(e), exchange, connection, false);
+      reply(internalError(e), exchange);
       return;
     }
-    stage.whenComplete(
-        (reply, failure) ->
-            reply(failure == null ? reply : internalError(failure), exchange, connection, false));
+    var unused =
+        stage.whenComplete(
+            (reply, failure) -> reply(failure == null ? reply : internalError(failure), exchange));
   }
 
-  private void reply(
-      HttpReply reply, HttpExchange exchange, Connection<?> connection, boolean closeConnection) {
-    if (unreadBytes(connection) > MAX_UNREAD_REPLY_BYTES) {
+  private void reply(HttpReply reply, HttpExchange exchange) {
+    if (unreadBytes(exchange.connection()) > MAX_UNREAD_REPLY_BYTES) {
       exchange.abort();
       return;
     }
-    deadlines.replyWritten(connection);
-    exchange.write(reply, closeConnection || !accepting);
+    deadlines.replyWritten(exchange.connection());
+    exchange.write(reply, !accepting);
   }
 
   private static int unreadBytes(Connection<?> connection) {
@@ -188,36 +188,20 @@
     }
 
     @Override
-    public void service(Request request, Response response) {
-      response.suspend();
-      new Reading(request, response).exchange.start();
-    }
-  }
-
-  /** Follows one request from its first byte to the reply. */
-  private final class Reading implements HttpExchange.Listener {
-    private final HttpExchange exchange;
-    private final Connection<?> connection;
-
-    Reading(Request request, Response response) {
-      this.connection = request.getConnection();
-      this.exchange = new HttpExchange(request, response, maxBodyBytes, this);
+    protected boolean sendAcknowledgment(Request request, Response response) {
+      // The body collector has asked for the body already.
+      return true;
     }
 
     @Override
-    public void received(HttpCall call) {
-      deadlines.requestDelivered(connection);
-      answer(call, exchange, connection);
-    }
-
-    @Override
-    public void tooLarge() {
-      reply(HttpService.this.tooLarge(), exchange, connection, true);
-    }
-
-    @Override
-    public void failed() {
-      exchange.abort();
+    public void service(Request request, Response response) throws IOException {
+      HttpExchange exchange = new HttpExchange(request, response);
+      deadlines.requestDelivered(exchange.connection());
+      if (exchange.tooLarge()) {
+        reply(tooLarge(), exchange);
+      } else {
+        answer(exchange);
+      }
     }
   }
 }
--- a/net/src/main/java/org/pollenspar/net/request/HttpExchange.java
+++ b/net/src/main/java/org/pollenspar/net/request/HttpExchange.java
@@ -1,115 +1,44 @@
 package org.pollenspar.net.request;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.function.Consumer;
-import org.glassfish.grizzly.ReadHandler;
-import org.glassfish.grizzly.http.io.NIOInputStream;
+import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.Response;
 import org.jspecify.annotations.Nullable;
 
-/**
- * Reads the body of one request as its bytes arrive, without a thread that waits, and hands over
- * the complete call.
- */
-public final class HttpExchange implements ReadHandler {
+/** One received request with its reply, which may be written later from any thread. */
+public final class HttpExchange {
   private final Request request;
   private final Response response;
-  private final NIOInputStream input;
-  private final int maxBodyBytes;
-  private final Listener listener;
-  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-  private boolean ended;
 
-  /** Told how the reading of a request ended; exactly one method is called, once. */
-  public interface Listener {
-
-    /** The whole request was received. */
-    void received(HttpCall call);
-
-    /** The body exceeds the limit; the rest of it was not read. */
-    void tooLarge();
-
-    /** The caller closed the connection or broke the protocol. */
-    void failed();
-  }
-
-  /** Creates the reader of one request. */
-  public HttpExchange(Request request, Response response, int maxBodyBytes, Listener listener) {
+  /** Keeps the response open until a reply is written. */
+  public HttpExchange(Request request, Response response) {
     this.request = request;
     this.response = response;
-    this.input = request.getNIOInputStream();
-    this.maxBodyBytes = maxBodyBytes;
-    this.listener = listener;
-  }
-
-  /** Starts reading. */
-  public void start() {
-    if (request.getContentLengthLong() > maxBodyBytes) {
-      end(Listener::tooLarge);
-    } else {
-      input.notifyAvailable(this);
-    }
-  }
-
-  @Override
-  public void onDataAvailable() throws IOException {
-    if (readAvailable()) {
-      input.notifyAvailable(this);
-    } else {
-      end(Listener::tooLarge);
-    }
-  }
-
-  @Override
-  public void onAllDataRead() throws IOException {
-    if (readAvailable()) {
-      HttpCall call = call();
-      end(told -> told.received(call));
-    } else {
-      end(Listener::tooLarge);
-    }
-  }
-
-  @Override
-  public void onError(@Nullable Throwable failure) {
-    end(Listener::failed);
+    response.suspend();
   }
 
-  private void end(Consumer<Listener> event) {
-    if (!ended) {
-      ended = true;
-      event.accept(listener);
-    }
+  /** Returns the connection of the caller. */
+  public Connection<?> connection() {
+    return request.getConnection();
   }
 
-  /** Returns false if the body has become too large. */
-  private boolean readAvailable() throws IOException {
-    byte[] chunk = new byte[Math.max(1, input.available())];
-    while (input.available() > 0) {
-      int read = input.read(chunk);
-      if (read <= 0) {
-        break;
-      }
-      body.write(chunk, 0, read);
-      if (body.size() > maxBodyBytes) {
-        return false;
-      }
-    }
-    return true;
+  /** Returns whether the body was dropped because it exceeds the limit. */
+  public boolean tooLarge() {
+    return BodyCollector.body(request.getRequest()).tooLarge();
   }
 
-  private HttpCall call() throws IOException {
+  /** Returns the complete request. */
+  public HttpCall call() throws IOException {
     return new HttpCall(
         request.getMethod().getMethodString(),
         request.getDecodedRequestURI(),
         query(request.getQueryString()),
-        body.toString(StandardCharsets.UTF_8));
+        BodyCollector.body(request.getRequest()).text());
   }
 
   private static Map<String, String> query(@Nullable String text) {
@@ -147,7 +76,7 @@
       response.setContentLength(bytes.length);
       response.getNIOOutputStream().write(bytes);
     } catch (IOException callerGone) {
-      request.getConnection().terminateSilently();
+      connection().terminateSilently();
     } finally {
       response.resume();
     }
@@ -155,7 +84,7 @@
 
   /** Closes the connection without a reply. */
   public void abort() {
-    request.getConnection().terminateSilently();
+    connection().terminateSilently();
     response.resume();
   }
 }
