Add FleetFeed, which runs the gossip over platform and peers

Cause: proxies and agents need the applied file and the host list without each calling the platform. Change: FleetFeed runs Spreader on the control thread; PlatformReader makes the blocking calls on threads of its own; values are decoded and parsed before they reach the control thread. Ruled out: answering digests on the network thread, since the spreader's state has one owner.

--- a/core/src/main/java/org/pollenspar/core/version/Spreader.java
+++ b/core/src/main/java/org/pollenspar/core/version/Spreader.java
@@ -28,7 +28,7 @@
  * watchers, and only if none answers for {@link #SILENCE_NANOS} does it ask the platform itself.
  *
  * <p>Pure logic: time and randomness are passed in, and the caller carries out the returned
- * actions. Not safe for use by several threads.
+ * actions. Used by one thread, except for {@link #isolated} and {@link #hosts}.
  */
 public final class Spreader {
   /** Time between two calls of {@link #tick}. */
@@ -56,13 +56,13 @@
   private final Map<SpreadKind, Long> refused = new EnumMap<>(SpreadKind.class);
   private final Map<SpreadKind, PendingFetch> fetches = new EnumMap<>(SpreadKind.class);
   private final PeerHealth health = new PeerHealth();
-  private HostList hosts = HostList.EMPTY;
+  private volatile HostList hosts = HostList.EMPTY;
   private Map<String, Host> hostsById = Map.of();
   private List<Host> peers = List.of();
   private Map<String, Host> watchers = Map.of();
   private boolean watching;
   private boolean leaving;
-  private long lastContact;
+  private volatile long lastContact;
   private long lastWatcherContact;
   private long nextAsk;
 
--- /dev/null
+++ b/net/src/main/java/org/pollenspar/net/version/DecodedValue.java
@@ -0,0 +1,53 @@
+package org.pollenspar.net.version;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Optional;
+import org.pollenspar.core.process.HostList;
+import org.pollenspar.core.process.PollensparError;
+import org.pollenspar.core.version.ConfigurationJson;
+import org.pollenspar.core.version.ConfigurationVersion;
+import org.pollenspar.core.version.FleetFile;
+import org.pollenspar.core.version.FleetFileParser;
+import org.pollenspar.core.version.SpreadKind;
+import org.pollenspar.core.version.SpreadValue;
+import org.pollenspar.net.process.HostListJson;
+
+/**
+ * A value with its JSON form and, for a configuration, its parsed file. Decoded before it is handed
+ * to the control thread, since a large file takes milliseconds to parse.
+ *
+ * @param value the value
+ * @param json form that is passed on to peers
+ * @param file parsed file of a configuration
+ */
+record DecodedValue(SpreadValue value, String json, Optional<FleetFile> file) {
+  private static final FleetFileParser PARSER = new FleetFileParser();
+
+  static Either<PollensparError, DecodedValue> decode(SpreadKind kind, String json) {
+    return switch (kind) {
+      case CONFIGURATION ->
+          ConfigurationJson.decode(json).flatMap(value -> configuration(value, json));
+      case HOST_LIST -> HostListJson.read(json).map(list -> hosts(list, json));
+    };
+  }
+
+  static DecodedValue hosts(HostList list) {
+    return hosts(list, HostListJson.write(list));
+  }
+
+  private static DecodedValue hosts(HostList list, String json) {
+    return new DecodedValue(new SpreadValue.Hosts(list), json, Optional.empty());
+  }
+
+  private static Either<PollensparError, DecodedValue> configuration(
+      ConfigurationVersion version, String json) {
+    Either<List<PollensparError>, FleetFile> parsed =
+        PARSER.parse("version " + version.version(), version.text());
+    return parsed
+        .mapLeft(errors -> errors.get(0))
+        .map(
+            file ->
+                new DecodedValue(new SpreadValue.Configuration(version), json, Optional.of(file)));
+  }
+}
--- /dev/null
+++ b/net/src/main/java/org/pollenspar/net/version/FleetFeed.java
@@ -0,0 +1,336 @@
+package org.pollenspar.net.version;
+
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Future;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+import org.pollenspar.core.process.Host;
+import org.pollenspar.core.process.HostList;
+import org.pollenspar.core.process.PollensparError;
+import org.pollenspar.core.process.Timeline;
+import org.pollenspar.core.version.FleetVersion;
+import org.pollenspar.core.version.SpreadAction;
+import org.pollenspar.core.version.SpreadDigest;
+import org.pollenspar.core.version.SpreadKind;
+import org.pollenspar.core.version.SpreadValue;
+import org.pollenspar.core.version.Spreader;
+import org.pollenspar.core.version.VersionHolder;
+import org.pollenspar.net.connection.PeerAddress;
+import org.pollenspar.net.connection.PeerNetwork;
+import org.pollenspar.net.process.ControlThread;
+import org.pollenspar.net.process.HostDirectory;
+import org.pollenspar.net.process.KeyValueService;
+import org.pollenspar.wire.Envelope;
+import org.pollenspar.wire.ValueMessage;
+
+/**
+ * The configuration and the host list of this process, kept up to date by a {@link Spreader}.
+ *
+ * <p>The spreader runs on the control thread; blocking calls to the platform run on threads of
+ * their own. Accessors may be called from any thread.
+ */
+public final class FleetFeed implements AutoCloseable {
+  private static final Duration TICK = Duration.ofNanos(Spreader.TICK_NANOS);
+  private static final Duration PEER_TIMEOUT = Duration.ofNanos(Spreader.PEER_TIMEOUT_NANOS);
+
+  private final PeerNetwork network;
+  private final ControlThread control;
+  private final RandomGenerator random;
+  private final Timeline timeline;
+  private final VersionHolder holder;
+  private final Spreader spreader;
+  private final PlatformReader platform;
+  private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
+  private volatile Map<SpreadKind, DecodedValue> values = Map.of();
+  private volatile @Nullable FleetVersion current;
+  private volatile HostList hosts = HostList.EMPTY;
+  private volatile Set<String> leavingPeers = Set.of();
+  private volatile boolean watching;
+  private volatile boolean closed;
+  private volatile @Nullable Future<?> ticker;
+
+  /** Values whose last read at the platform failed; used by the control thread. */
+  private final Set<SpreadKind> unreached = EnumSet.noneOf(SpreadKind.class);
+
+  /**
+   * Creates the feed; {@link #start} begins its work.
+   *
+   * @param ownId id of this process in the host list
+   * @param ownDomain its failure domain
+   * @param keyValues holds the configuration
+   * @param directory holds the host list
+   * @param network carries messages to peers
+   * @param control owns the decision state
+   * @param random source of randomness, used by the control thread only
+   * @param timeline records changes of state
+   * @param holder keeps the configuration version from going back
+   */
+  public FleetFeed(
+      String ownId,
+      String ownDomain,
+      KeyValueService keyValues,
+      HostDirectory directory,
+      PeerNetwork network,
+      ControlThread control,
+      RandomGenerator random,
+      Timeline timeline,
+      VersionHolder holder) {
+    this.network = network;
+    this.control = control;
+    this.random = random;
+    this.timeline = timeline;
+    this.holder = holder;
+    this.spreader = new Spreader(ownId, ownDomain, random, control.nowNanos());
+    this.platform = new PlatformReader(keyValues, directory, new FromPlatform());
+  }
+
+  /** Asks the platform once and begins to exchange digests. */
+  public void start() {
+    control.execute(
+        () -> {
+          perform(spreader.start(control.nowNanos()));
+          // A random first delay keeps processes that start together from exchanging in step.
+          Duration delay = Duration.ofNanos(random.nextLong(Spreader.TICK_NANOS));
+          ticker = control.schedule(delay, this::startTicking);
+        });
+  }
+
+  /** Returns the configuration in force; empty before the first. */
+  public Optional<FleetVersion> current() {
+    return Optional.ofNullable(current);
+  }
+
+  /** Returns the host list; empty before the first. */
+  public HostList hosts() {
+    return hosts;
+  }
+
+  /** Adds a listener, called on the control thread when any of the accessors has changed. */
+  public void addListener(Runnable listener) {
+    listeners.add(listener);
+  }
+
+  /** Returns whether this process watches the platform for others. */
+  public boolean watching() {
+    return watching;
+  }
+
+  /** Returns the ids of peers that said that they are shutting down, ahead of the host list. */
+  public Set<String> leavingPeers() {
+    return leavingPeers;
+  }
+
+  /** Sets whether this process is shutting down, and tells some peers at once. */
+  public void setLeaving(boolean leaving) {
+    control.execute(() -> perform(spreader.leaving(leaving, control.nowNanos())));
+  }
+
+  /**
+   * Returns whether neither the platform nor any peer was reached for 10 s although other proxies
+   * are listed.
+   */
+  public boolean isolated(long nowNanos) {
+    return spreader.isolated(nowNanos);
+  }
+
+  /** Answers the messages {@code Digest} and {@code FetchValue}. */
+  public CompletionStage<Envelope.Builder> handle(Envelope request) {
+    return switch (request.getBodyCase()) {
+      case DIGEST -> control.call(() -> answerDigest(request));
+      case FETCH_VALUE -> CompletableFuture.completedFuture(answerFetch(request));
+      default ->
+          CompletableFuture.failedFuture(
+              new IllegalArgumentException("not a gossip message: " + request.getBodyCase()));
+    };
+  }
+
+  private Envelope.Builder answerDigest(Envelope request) {
+    SpreadDigest own = spreader.digest();
+    SpreadDigest received = SpreadMessages.digest(request.getDigest());
+    perform(spreader.digestReceived(request.getSender(), received, control.nowNanos()));
+    return SpreadMessages.digestAck(own);
+  }
+
+  private Envelope.Builder answerFetch(Envelope request) {
+    return SpreadMessages.kind(request.getFetchValue().getKind())
+        .flatMap(kind -> Optional.ofNullable(values.get(kind)))
+        .map(SpreadMessages::value)
+        .orElseGet(SpreadMessages::noValue);
+  }
+
+  private void startTicking() {
+    tick();
+    ticker = control.scheduleRepeatedly(TICK, this::tick);
+  }
+
+  private void tick() {
+    perform(spreader.tick(control.nowNanos()));
+  }
+
+  private void perform(List<SpreadAction> actions) {
+    perform(actions, null);
+  }
+
+  /** Carries out actions; {@code received} is the value that caused an adoption. */
+  private void perform(List<SpreadAction> actions, @Nullable DecodedValue received) {
+    boolean changed = false;
+    for (SpreadAction action : actions) {
+      if (action instanceof SpreadAction.SendDigest send) {
+        sendDigest(send.to(), send.digest());
+      } else if (action instanceof SpreadAction.Fetch fetch) {
+        fetch(fetch.from(), fetch.kind());
+      } else if (action instanceof SpreadAction.Adopted && received != null) {
+        install(received);
+        changed = true;
+      } else if (action instanceof SpreadAction.AskPlatform) {
+        platform.readOnce();
+      } else if (action instanceof SpreadAction.WatchPlatform watch) {
+        watching = watch.active();
+        timeline.record("watch", "platform", watching ? "started" : "stopped");
+        platform.watch(watching);
+      }
+    }
+    Set<String> leaving = spreader.leavingPeers(control.nowNanos());
+    if (!leaving.equals(leavingPeers)) {
+      leavingPeers = leaving;
+      changed = true;
+    }
+    if (changed) {
+      listeners.forEach(Runnable::run);
+    }
+  }
+
+  private void install(DecodedValue decoded) {
+    if (decoded.value() instanceof SpreadValue.Configuration configuration) {
+      if (!holder.offer(configuration.value())) {
+        return;
+      }
+      decoded.file().ifPresent(file -> current = new FleetVersion(configuration.version(), file));
+      String detail =
+          "apply " + configuration.value().applyId() + " by " + configuration.value().author();
+      timeline.record("configuration", String.valueOf(configuration.version()), detail);
+    } else if (decoded.value() instanceof SpreadValue.Hosts list) {
+      hosts = list.value();
+      String detail = list.value().hosts().size() + " hosts";
+      timeline.record("host_list", String.valueOf(list.version()), detail);
+    }
+    Map<SpreadKind, DecodedValue> updated = new EnumMap<>(SpreadKind.class);
+    updated.putAll(values);
+    updated.put(decoded.value().kind(), decoded);
+    values = updated;
+  }
+
+  private void sendDigest(Host to, SpreadDigest digest) {
+    network
+        .request(address(to), SpreadMessages.digest(digest), PEER_TIMEOUT)
+        .whenComplete(
+            (response, failure) ->
+                onControl(
+                    () -> {
+                      if (failure != null || !response.hasDigestAck()) {
+                        spreader.peerFailed(to.id(), control.nowNanos());
+                        return;
+                      }
+                      SpreadDigest ack = SpreadMessages.digest(response.getDigestAck());
+                      perform(spreader.digestAcknowledged(to.id(), ack, control.nowNanos()));
+                    }));
+  }
+
+  private void fetch(Host from, SpreadKind kind) {
+    network
+        .request(address(from), SpreadMessages.fetch(kind), PEER_TIMEOUT)
+        .whenComplete(
+            (response, failure) -> {
+              if (failure != null
+                  || !response.hasValue()
+                  || response.getValue().getVersion() == 0) {
+                onControl(() -> spreader.peerFailed(from.id(), control.nowNanos()));
+              } else {
+                platform.run(() -> decodeFetched(from, kind, response.getValue()));
+              }
+            });
+  }
+
+  private void decodeFetched(Host from, SpreadKind kind, ValueMessage message) {
+    DecodedValue.decode(kind, message.getJson())
+        .peek(
+            value ->
+                onControl(
+                    () ->
+                        perform(
+                            spreader.valueReceived(from.id(), value.value(), control.nowNanos()),
+                            value)))
+        .peekLeft(error -> onControl(() -> refuse(kind, message.getVersion(), error)));
+  }
+
+  private void refuse(SpreadKind kind, long version, PollensparError error) {
+    spreader.refuse(kind, version);
+    timeline.record("value_refused", kind + " " + version, error.message());
+  }
+
+  private void onControl(Runnable task) {
+    if (!closed) {
+      control.execute(task);
+    }
+  }
+
+  private static PeerAddress address(Host host) {
+    return new PeerAddress(host.id(), host.address(), host.peerPort());
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    Future<?> running = ticker;
+    if (running != null) {
+      running.cancel(false);
+    }
+    platform.close();
+  }
+
+  /** Hands the platform's answers to the control thread. */
+  private final class FromPlatform implements PlatformReader.Receiver {
+    @Override
+    public void value(DecodedValue value) {
+      onControl(
+          () -> {
+            reached(value.value().kind());
+            perform(spreader.platformValue(value.value(), control.nowNanos()), value);
+          });
+    }
+
+    @Override
+    public void contact(SpreadKind kind) {
+      onControl(
+          () -> {
+            reached(kind);
+            spreader.platformContact(control.nowNanos());
+          });
+    }
+
+    @Override
+    public void failure(SpreadKind kind, PollensparError error) {
+      onControl(
+          () -> {
+            if (unreached.add(kind)) {
+              timeline.record("platform_lost", kind.name(), error.message());
+            }
+          });
+    }
+
+    private void reached(SpreadKind kind) {
+      if (unreached.remove(kind)) {
+        timeline.record("platform_reached", kind.name(), "");
+      }
+    }
+  }
+}
--- /dev/null
+++ b/net/src/main/java/org/pollenspar/net/version/PlatformReader.java
@@ -0,0 +1,163 @@
+package org.pollenspar.net.version;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+import org.pollenspar.core.process.HostList;
+import org.pollenspar.core.process.PollensparError;
+import org.pollenspar.core.version.ConfigurationJson;
+import org.pollenspar.core.version.SpreadKind;
+import org.pollenspar.net.process.HostDirectory;
+import org.pollenspar.net.process.KeyValueService;
+
+/** Blocking calls to the platform, on threads of their own. */
+final class PlatformReader implements AutoCloseable {
+  private static final Duration READ_TIMEOUT = Duration.ofSeconds(2);
+  private static final Duration WATCH_WAIT = Duration.ofSeconds(10);
+
+  /** A watch that fails or returns at once, as for a missing key, is repeated after this pause. */
+  private static final Duration RETRY_PAUSE = Duration.ofMillis(500);
+
+  private final KeyValueService keyValues;
+  private final HostDirectory directory;
+  private final Receiver receiver;
+  private final ExecutorService threads;
+  private final AtomicBoolean reading = new AtomicBoolean();
+  private final AtomicLong watchNumber = new AtomicLong();
+
+  PlatformReader(KeyValueService keyValues, HostDirectory directory, Receiver receiver) {
+    this.keyValues = keyValues;
+    this.directory = directory;
+    this.receiver = receiver;
+    this.threads =
+        Executors.newCachedThreadPool(
+            task -> {
+              Thread thread = new Thread(task, "fleet-platform");
+              thread.setDaemon(true);
+              return thread;
+            });
+  }
+
+  /** Receives what the platform answered; called on the reader's threads. */
+  interface Receiver {
+    /** A value was read. */
+    void value(DecodedValue value);
+
+    /** The platform answered without a new value. */
+    void contact(SpreadKind kind);
+
+    /** The platform did not answer, or its value cannot be used. */
+    void failure(SpreadKind kind, PollensparError error);
+  }
+
+  /** Reads both values once; does nothing while an earlier read is running. */
+  void readOnce() {
+    if (reading.compareAndSet(false, true)) {
+      run(
+          () -> {
+            try {
+              report(
+                  SpreadKind.HOST_LIST,
+                  directory.watch(0, Duration.ZERO).map(list -> list.map(DecodedValue::hosts)));
+              report(
+                  SpreadKind.CONFIGURATION,
+                  keyValues
+                      .read(ConfigurationJson.KEY, READ_TIMEOUT)
+                      .flatMap(this::decodeConfiguration));
+            } finally {
+              reading.set(false);
+            }
+          });
+    }
+  }
+
+  /** Starts or stops the watches; a poll that is under way ends by itself. */
+  void watch(boolean active) {
+    long number = watchNumber.incrementAndGet();
+    if (active) {
+      run(() -> watchConfiguration(number));
+      run(() -> watchHosts(number));
+    }
+  }
+
+  private void watchConfiguration(long number) {
+    AtomicLong revision = new AtomicLong();
+    watch(
+        SpreadKind.CONFIGURATION,
+        number,
+        () ->
+            keyValues
+                .watch(ConfigurationJson.KEY, revision.get(), WATCH_WAIT)
+                .peek(stored -> stored.ifPresent(s -> revision.set(s.revision())))
+                .flatMap(this::decodeConfiguration));
+  }
+
+  private void watchHosts(long number) {
+    AtomicLong revision = new AtomicLong();
+    watch(
+        SpreadKind.HOST_LIST,
+        number,
+        () ->
+            directory
+                .watch(revision.get(), WATCH_WAIT)
+                .peek(list -> list.map(HostList::revision).ifPresent(revision::set))
+                .map(list -> list.map(DecodedValue::hosts)));
+  }
+
+  private void watch(
+      SpreadKind kind,
+      long number,
+      Supplier<Either<PollensparError, Optional<DecodedValue>>> poll) {
+    while (watchNumber.get() == number && !Thread.currentThread().isInterrupted()) {
+      long start = System.nanoTime();
+      Either<PollensparError, Optional<DecodedValue>> answer = poll.get();
+      report(kind, answer);
+      boolean empty = answer.isLeft() || answer.get().isEmpty();
+      if (empty && System.nanoTime() - start < RETRY_PAUSE.toNanos()) {
+        pause();
+      }
+    }
+  }
+
+  private Either<PollensparError, Optional<DecodedValue>> decodeConfiguration(
+      Optional<KeyValueService.StoredValue> stored) {
+    return stored.isEmpty()
+        ? Either.right(Optional.empty())
+        : DecodedValue.decode(SpreadKind.CONFIGURATION, stored.get().value()).map(Optional::of);
+  }
+
+  private void report(SpreadKind kind, Either<PollensparError, Optional<DecodedValue>> answer) {
+    answer
+        .peekLeft(error -> receiver.failure(kind, error))
+        .peek(value -> value.ifPresentOrElse(receiver::value, () -> receiver.contact(kind)));
+  }
+
+  private static void pause() {
+    try {
+      Thread.sleep(RETRY_PAUSE.toMillis());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Runs a task on a thread of its own; ignored after {@link #close}. */
+  void run(Runnable task) {
+    try {
+      threads.execute(task);
+    } catch (RejectedExecutionException e) {
+      watchNumber.incrementAndGet();
+    }
+  }
+
+  @Override
+  public void close() {
+    watchNumber.incrementAndGet();
+    threads.shutdownNow();
+  }
+}
