Add the operators' command line

Cause: operators need to check, compare and apply the file and to see all processes. Ruled out: reading the revision again before a repetition, which could overwrite another version.

--- /dev/null
+++ b/cli/src/main/java/org/pollenspar/cli/Applier.java
@@ -0,0 +1,132 @@
+package org.pollenspar.cli;
+
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.pollenspar.core.process.ErrorKind;
+import org.pollenspar.core.process.PollensparError;
+import org.pollenspar.core.version.ConfigurationJson;
+import org.pollenspar.core.version.ConfigurationVersion;
+import org.pollenspar.core.version.FleetFileParser;
+
+/**
+ * Applies a file by compare-and-swap.
+ *
+ * <p>Invariant: one apply makes at most one version. After a lost answer the same swap is repeated
+ * with the same expected revision, so at most one attempt takes effect; which one did is read back
+ * by the apply id among the recent applies. To read the revision again before a repetition would
+ * overwrite a version that another operator applied meanwhile.
+ */
+final class Applier {
+  private final ConfigurationStore store;
+  private final Pause pause;
+  private final int attempts;
+
+  /**
+   * Creates an applier.
+   *
+   * @param pause called between attempts
+   * @param attempts most attempts to reach the platform
+   */
+  Applier(ConfigurationStore store, Pause pause, int attempts) {
+    this.store = store;
+    this.pause = pause;
+    this.attempts = attempts;
+  }
+
+  /** Waits between attempts. */
+  @FunctionalInterface
+  interface Pause {
+    void await();
+  }
+
+  /**
+   * A file in force.
+   *
+   * @param version its version
+   * @param changed whether this apply made the version
+   */
+  record Accepted(long version, boolean changed) {}
+
+  /**
+   * Applies a text that was checked.
+   *
+   * @param base version that the operator reviewed; empty if any
+   */
+  Either<PollensparError, Accepted> apply(
+      String text, String author, String applyId, OptionalLong base) {
+    Either<PollensparError, ConfigurationStore.Stored> read = readWithRetries();
+    if (read.isLeft()) {
+      return Either.left(read.getLeft());
+    }
+    Optional<ConfigurationVersion> current = read.get().version();
+    long currentVersion = current.map(ConfigurationVersion::version).orElse(0L);
+    if (base.isPresent() && base.getAsLong() != currentVersion) {
+      return Either.left(conflict(current));
+    }
+    if (current.isPresent() && current.get().text().equals(text)) {
+      return Either.right(new Accepted(currentVersion, false));
+    }
+    ConfigurationVersion next = ConfigurationVersion.successor(current, applyId, author, text);
+    int bytes = ConfigurationJson.encode(next).getBytes(StandardCharsets.UTF_8).length;
+    if (bytes > FleetFileParser.MAX_BYTES) {
+      return Either.left(
+          PollensparError.of(
+              ErrorKind.FILE_TOO_LARGE, "as stored", bytes, FleetFileParser.MAX_BYTES));
+    }
+    return swapUntilSettled(next, read.get().revision());
+  }
+
+  private Either<PollensparError, ConfigurationStore.Stored> readWithRetries() {
+    Either<PollensparError, ConfigurationStore.Stored> read = store.read();
+    for (int i = 1; i < attempts && unavailable(read); i++) {
+      pause.await();
+      read = store.read();
+    }
+    return read;
+  }
+
+  private Either<PollensparError, Accepted> swapUntilSettled(
+      ConfigurationVersion next, long revision) {
+    for (int i = 0; i < attempts; i++) {
+      Either<PollensparError, Boolean> swapped = store.swap(next, revision);
+      if (swapped.isRight() && swapped.get()) {
+        return Either.right(new Accepted(next.version(), true));
+      }
+      if (swapped.isLeft() && swapped.getLeft().kind() != ErrorKind.PLATFORM_UNAVAILABLE) {
+        return Either.left(swapped.getLeft());
+      }
+      Either<PollensparError, ConfigurationStore.Stored> stored = store.read();
+      if (stored.isRight() && stored.get().revision() != revision) {
+        return settle(next, stored.get().version());
+      }
+      pause.await();
+    }
+    return Either.left(PollensparError.of(ErrorKind.APPLY_UNCONFIRMED, next.applyId()));
+  }
+
+  private static Either<PollensparError, Accepted> settle(
+      ConfigurationVersion next, Optional<ConfigurationVersion> stored) {
+    Optional<Long> own = stored.flatMap(version -> version.versionOfApply(next.applyId()));
+    if (own.isPresent()) {
+      return Either.right(new Accepted(own.get(), true));
+    }
+    long newest = stored.map(ConfigurationVersion::version).orElse(0L);
+    if (newest - next.version() >= ConfigurationVersion.RECENT_LIMIT) {
+      return Either.left(PollensparError.of(ErrorKind.APPLY_UNCONFIRMED, next.applyId()));
+    }
+    return Either.left(conflict(stored));
+  }
+
+  private static PollensparError conflict(Optional<ConfigurationVersion> winner) {
+    return PollensparError.of(
+        ErrorKind.VERSION_CONFLICT,
+        winner.map(ConfigurationVersion::version).orElse(0L),
+        winner.map(ConfigurationVersion::author).orElse("nobody"));
+  }
+
+  private static boolean unavailable(Either<PollensparError, ?> answer) {
+    return answer.isLeft() && answer.getLeft().kind() == ErrorKind.PLATFORM_UNAVAILABLE;
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/pollenspar/cli/ApplyCommand.java
@@ -0,0 +1,95 @@
+package org.pollenspar.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import java.time.Duration;
+import java.util.OptionalLong;
+import java.util.UUID;
+import org.jspecify.annotations.Nullable;
+import org.pollenspar.net.process.PlatformHttpClient;
+
+/** Applies a file and waits until it is in force. */
+@Parameters(commandDescription = "Apply a file and wait until all live proxies report it")
+final class ApplyCommand implements Command {
+  private static final long PAUSE_MILLIS = 250;
+
+  /** With the pause and the calls' timeout of 2 s, an outage of 10 to 40 s is waited out. */
+  private static final int ATTEMPTS = 40;
+
+  @ParametersDelegate private final CommonOptions common = new CommonOptions();
+
+  @Parameter(description = "FILE")
+  private String file = "";
+
+  @Parameter(
+      names = "--platform",
+      description = "Address of the platform, http://ADDRESS:PORT; default $POLLENSPAR_PLATFORM")
+  private @Nullable String platform;
+
+  @Parameter(names = "--author", description = "Who applies the file; default is the user's name")
+  private String author = System.getProperty("user.name", "unknown");
+
+  @Parameter(
+      names = "--base",
+      description = "Refuse unless this version is in force, as seen with diff")
+  private @Nullable Long base;
+
+  @Parameter(names = "--wait-s", description = "Seconds to wait for the proxies; 0 to not wait")
+  private int waitSeconds = 14;
+
+  @Override
+  public CommonOptions common() {
+    return common;
+  }
+
+  @Override
+  public ExitCode run(CliContext context) {
+    if (author.isBlank() || author.length() > 100) {
+      throw CliContext.invalid("--author must have 1 to 100 characters");
+    }
+    if (waitSeconds < 0 || waitSeconds > 3_600) {
+      throw CliContext.invalid("--wait-s must be 0 to 3600");
+    }
+    return FleetFiles.load(file)
+        .fold(
+            errors -> FleetFiles.fail(context, errors),
+            loaded -> apply(context, context.platform(platform), loaded.text()));
+  }
+
+  private ExitCode apply(CliContext context, PlatformHttpClient client, String text) {
+    Applier applier = new Applier(new ConfigurationStore(client), ApplyCommand::pause, ATTEMPTS);
+    OptionalLong reviewed = base == null ? OptionalLong.empty() : OptionalLong.of(base);
+    return applier
+        .apply(text, author, UUID.randomUUID().toString(), reviewed)
+        .fold(context::fail, accepted -> await(context, client, accepted));
+  }
+
+  private ExitCode await(CliContext context, PlatformHttpClient client, Applier.Accepted accepted) {
+    String verdict = accepted.changed() ? " is accepted" : " already holds this file";
+    context.out().println("Version " + accepted.version() + verdict);
+    if (waitSeconds == 0) {
+      return ExitCode.OK;
+    }
+    AdminClient admin = new AdminClient(Duration.ofSeconds(1));
+    return new Rollout(client, admin, System::nanoTime, ApplyCommand::pause)
+        .await(accepted.version(), Duration.ofSeconds(waitSeconds))
+        .fold(
+            context::fail,
+            count -> {
+              context
+                  .out()
+                  .println(
+                      "Version " + accepted.version() + " is in force on " + count + " proxies");
+              return ExitCode.OK;
+            });
+  }
+
+  private static void pause() {
+    try {
+      Thread.sleep(PAUSE_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/pollenspar/cli/CommonOptions.java
@@ -0,0 +1,12 @@
+package org.pollenspar.cli;
+
+import com.beust.jcommander.Parameter;
+
+/** Options of the program and of every subcommand. */
+final class CommonOptions {
+  @Parameter(names = "--help", help = true, description = "Print the options and exit")
+  boolean help;
+
+  @Parameter(names = "--version", help = true, description = "Print the version and exit")
+  boolean version;
+}
--- /dev/null
+++ b/cli/src/main/java/org/pollenspar/cli/ConfigurationStore.java
@@ -0,0 +1,51 @@
+package org.pollenspar.cli;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.Optional;
+import org.pollenspar.core.process.PollensparError;
+import org.pollenspar.core.version.ConfigurationJson;
+import org.pollenspar.core.version.ConfigurationVersion;
+import org.pollenspar.net.process.KeyValueService;
+
+/** The configuration under its key at the platform. */
+final class ConfigurationStore {
+  private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+  private final KeyValueService keyValues;
+
+  ConfigurationStore(KeyValueService keyValues) {
+    this.keyValues = keyValues;
+  }
+
+  /**
+   * The stored version with the revision that a change must name.
+   *
+   * @param version empty before the first apply
+   * @param revision 0 before the first apply
+   */
+  record Stored(Optional<ConfigurationVersion> version, long revision) {}
+
+  Either<PollensparError, Stored> read() {
+    return keyValues
+        .read(ConfigurationJson.KEY, TIMEOUT)
+        .flatMap(
+            stored ->
+                stored.isEmpty()
+                    ? Either.right(new Stored(Optional.empty(), 0))
+                    : ConfigurationJson.decode(stored.get().value())
+                        .map(v -> new Stored(Optional.of(v), stored.get().revision())));
+  }
+
+  /** Writes a version; false if the revision was not the expected one. */
+  Either<PollensparError, Boolean> swap(ConfigurationVersion version, long expectedRevision) {
+    return keyValues
+        .compareAndSwap(
+            ConfigurationJson.KEY,
+            ConfigurationJson.encode(version),
+            expectedRevision,
+            Optional.empty(),
+            TIMEOUT)
+        .map(KeyValueService.SwapResult::applied);
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/pollenspar/cli/FleetFiles.java
@@ -0,0 +1,57 @@
+package org.pollenspar.cli;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.List;
+import org.pollenspar.core.process.ErrorKind;
+import org.pollenspar.core.process.PollensparError;
+import org.pollenspar.core.version.FleetFile;
+import org.pollenspar.core.version.FleetFileParser;
+
+/** Reads and checks a file that an operator names. */
+final class FleetFiles {
+  private FleetFiles() {}
+
+  /**
+   * A file that was read and checked.
+   *
+   * @param text its text
+   * @param file its content
+   */
+  record Loaded(String text, FleetFile file) {}
+
+  /** Reads a file, or returns every error in it. */
+  static Either<List<PollensparError>, Loaded> load(String name) {
+    if (name.isEmpty()) {
+      throw CliContext.invalid("FILE is missing");
+    }
+    try {
+      Path path = Path.of(name);
+      long size = Files.size(path);
+      if (size > FleetFileParser.MAX_BYTES) {
+        return refuse(ErrorKind.FILE_TOO_LARGE, name, size, FleetFileParser.MAX_BYTES);
+      }
+      String text = Files.readString(path, StandardCharsets.UTF_8);
+      return new FleetFileParser().parse(name, text).map(file -> new Loaded(text, file));
+    } catch (CharacterCodingException e) {
+      return refuse(ErrorKind.FILE_UNREADABLE, name, "it is not UTF-8 text");
+    } catch (IOException | InvalidPathException e) {
+      return refuse(ErrorKind.FILE_UNREADABLE, name, e.toString());
+    }
+  }
+
+  private static Either<List<PollensparError>, Loaded> refuse(ErrorKind kind, Object... arguments) {
+    return Either.left(List.of(PollensparError.of(kind, arguments)));
+  }
+
+  /** Reports all errors; returns the exit code. */
+  static ExitCode fail(CliContext context, List<PollensparError> errors) {
+    errors.forEach(context::fail);
+    return ExitCode.BAD_INPUT;
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/pollenspar/cli/MergedTimeline.java
@@ -0,0 +1,101 @@
+package org.pollenspar.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vavr.control.Either;
+import java.time.Instant;
+import java.time.ZoneOffset;
+import java.time.format.DateTimeFormatter;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.pollenspar.core.process.HybridClock;
+import org.pollenspar.core.process.PollensparError;
+import org.pollenspar.core.process.TimelineEvent;
+
+/**
+ * The events of several processes in the order of their stamps.
+ *
+ * <p>A stamp exceeds every stamp that its process had seen, and messages carry stamps; therefore an
+ * event stands after the events that caused it. Wall clocks would not order them, since two hosts'
+ * clocks differ by more than a message takes.
+ *
+ * @param events in causal order
+ * @param errors why some processes are missing
+ */
+record MergedTimeline(List<TimelineEvent> events, List<PollensparError> errors) {
+  private static final Comparator<TimelineEvent> ORDER =
+      Comparator.comparing(TimelineEvent::stamp, Long::compareUnsigned)
+          .thenComparing(TimelineEvent::process);
+  private static final DateTimeFormatter TIME =
+      DateTimeFormatter.ofPattern("HH:mm:ss.SSS").withZone(ZoneOffset.UTC);
+
+  /** Copies the lists. */
+  MergedTimeline {
+    events = List.copyOf(events);
+    errors = List.copyOf(errors);
+  }
+
+  /** Merges the answers, one event per line. Lines that are not events are left out. */
+  static MergedTimeline of(Map<Target, Either<PollensparError, String>> answers) {
+    List<TimelineEvent> events = new ArrayList<>();
+    List<PollensparError> errors = new ArrayList<>();
+    answers.forEach(
+        (target, answer) ->
+            answer
+                .peekLeft(errors::add)
+                .peek(body -> body.lines().forEach(line -> event(line).ifPresent(events::add))));
+    return new MergedTimeline(events.stream().distinct().sorted(ORDER).toList(), errors);
+  }
+
+  private static Optional<TimelineEvent> event(String line) {
+    return Json.parse("timeline", line).toJavaOptional().flatMap(MergedTimeline::event);
+  }
+
+  private static Optional<TimelineEvent> event(JsonNode node) {
+    if (!node.path("stamp").isIntegralNumber() || !node.path("kind").isTextual()) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new TimelineEvent(
+            node.path("stamp").longValue(),
+            node.path("process").asText(),
+            node.path("kind").asText(),
+            node.path("subject").asText(),
+            node.path("detail").asText()));
+  }
+
+  String text() {
+    TextTable table = new TextTable("TIME (UTC)", "PROCESS", "EVENT", "SUBJECT", "DETAIL");
+    for (TimelineEvent event : events) {
+      table.row(time(event), event.process(), event.kind(), event.subject(), event.detail());
+    }
+    return table.text();
+  }
+
+  String jsonLines() {
+    StringBuilder text = new StringBuilder();
+    for (TimelineEvent event : events) {
+      text.append(
+              Json.MAPPER
+                  .createObjectNode()
+                  .put("stamp", event.stamp())
+                  .put("time", millis(event).toString())
+                  .put("process", event.process())
+                  .put("kind", event.kind())
+                  .put("subject", event.subject())
+                  .put("detail", event.detail()))
+          .append('\n');
+    }
+    return text.toString();
+  }
+
+  static String time(TimelineEvent event) {
+    return TIME.format(millis(event));
+  }
+
+  private static Instant millis(TimelineEvent event) {
+    return Instant.ofEpochMilli(HybridClock.millis(event.stamp()));
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/pollenspar/cli/TargetOptions.java
@@ -0,0 +1,24 @@
+package org.pollenspar.cli;
+
+import com.beust.jcommander.Parameter;
+import java.util.ArrayList;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/** Options that say which processes to ask. */
+final class TargetOptions {
+  @Parameter(
+      names = "--platform",
+      description = "Address of the platform, http://ADDRESS:PORT; default $POLLENSPAR_PLATFORM")
+  @Nullable String platform;
+
+  @Parameter(
+      names = "--admin",
+      description =
+          "ADDRESS:PORT of a process's operators' listener, instead of the platform's host list;"
+              + " may be repeated")
+  List<String> admin = new ArrayList<>();
+
+  @Parameter(names = "--timeout-ms", description = "Time to wait for each process")
+  int timeoutMillis = 2_000;
+}
--- a/cli/src/main/java/org/pollenspar/cli/package-info.java
+++ b/cli/src/main/java/org/pollenspar/cli/package-info.java
@@ -1,4 +1,4 @@
-/** Placeholder. */
+/** The operators' command line; one class per subcommand. */
 @NullMarked
 package org.pollenspar.cli;
 
