Add platform stand-in with terms, leases, watches and faults

It keeps keys with compare-and-swap, leases and long-poll watches, publishes the host list after a settable lag, and reaches the databases by their control ports to fence and promote.

In a term at most one database is ever ordered to lead; the choice is recorded before the order is sent. Allowing a second choice after an unanswered order was ruled out, since the first database may lead already. Lost answers are requests that are never answered after the change.

--- a/standin/src/main/java/org/pollenspar/standin/connection/DatabaseFaults.java
+++ b/standin/src/main/java/org/pollenspar/standin/connection/DatabaseFaults.java
@@ -29,7 +29,7 @@
   public final AtomicInteger lostCommitAnswers = new AtomicInteger();
 
   /** Takes one from a budget of faults; returns whether there was one. */
-  static boolean take(AtomicInteger budget) {
+  public static boolean take(AtomicInteger budget) {
     return budget.get() > 0 && budget.getAndUpdate(left -> Math.max(0, left - 1)) > 0;
   }
 }
--- /dev/null
+++ b/standin/src/main/java/org/pollenspar/standin/process/KeyValueApi.java
@@ -0,0 +1,123 @@
+package org.pollenspar.standin.process;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.pollenspar.net.request.HttpCall;
+import org.pollenspar.net.request.HttpReply;
+import org.pollenspar.standin.connection.DatabaseFaults;
+import org.pollenspar.standin.version.KeyValueStore;
+import org.pollenspar.standin.version.KeyValueStore.StoredEntry;
+
+/** The key-value service over HTTP, with its faults. */
+final class KeyValueApi {
+  static final HttpReply DOWN = HttpReply.json(503, "{\"error\": \"service down\"}");
+
+  private static final String KEY_PREFIX = "/kv/";
+  private static final int MAX_VALUE_CHARS = 1 << 20;
+
+  private final ObjectMapper json = new ObjectMapper();
+  private final KeyValueStore store;
+  private final PlatformFaults faults;
+  private final CallCounters counters;
+  private final LongSupplier clock;
+
+  KeyValueApi(
+      KeyValueStore store, PlatformFaults faults, CallCounters counters, LongSupplier clock) {
+    this.store = store;
+    this.faults = faults;
+    this.counters = counters;
+    this.clock = clock;
+  }
+
+  CompletableFuture<HttpReply> handle(HttpCall call) throws JsonProcessingException {
+    CompletableFuture<HttpReply> reply = afterFaults(call);
+    long latency = faults.keyValueLatencyMillis;
+    return latency == 0
+        ? reply
+        : reply.thenApplyAsync(
+            r -> r, CompletableFuture.delayedExecutor(latency, TimeUnit.MILLISECONDS));
+  }
+
+  private CompletableFuture<HttpReply> afterFaults(HttpCall call) throws JsonProcessingException {
+    if (faults.keyValueHangs) {
+      counters.count("kv_refused");
+      return new CompletableFuture<>();
+    }
+    if (faults.keyValueDown) {
+      counters.count("kv_refused");
+      return CompletableFuture.completedFuture(DOWN);
+    }
+    if (call.method().equals("GET")) {
+      return call.query().containsKey("after") ? watch(call) : done(read(call));
+    }
+    HttpReply reply =
+        call.path().startsWith(KEY_PREFIX)
+            ? write(call.path().substring(KEY_PREFIX.length()), json.readTree(call.body()))
+            : lease(call);
+    boolean lost = DatabaseFaults.take(faults.lostWriteAnswers);
+    return lost ? new CompletableFuture<>() : done(reply);
+  }
+
+  private HttpReply read(HttpCall call) {
+    counters.count("kv_read");
+    return entryReply(store.read(call.path().substring(KEY_PREFIX.length())), 404);
+  }
+
+  private CompletableFuture<HttpReply> watch(HttpCall call) {
+    counters.count("kv_watch");
+    long after = Long.parseLong(call.query().get("after"));
+    long wait = Long.parseLong(call.query().getOrDefault("wait_ms", "0"));
+    return store
+        .watch(call.path().substring(KEY_PREFIX.length()), after, clock.getAsLong() + wait)
+        .thenApply(entry -> faults.keyValueDown ? DOWN : entryReply(entry, 304));
+  }
+
+  private HttpReply write(String key, JsonNode body) {
+    counters.count("kv_write");
+    String value = body.required("value").asText();
+    if (value.length() > MAX_VALUE_CHARS) {
+      return HttpReply.json(413, "{\"error\": \"value too large\"}");
+    }
+    KeyValueStore.Swap swap =
+        store.compareAndSwap(
+            key, value, body.required("expected_revision").asLong(), body.path("lease").asText(""));
+    ObjectNode answer = json.createObjectNode().put("revision", swap.revision());
+    return HttpReply.json(swap.applied() ? 200 : 409, answer.toString());
+  }
+
+  private HttpReply lease(HttpCall call) throws JsonProcessingException {
+    String[] parts = call.path().split("/", -1);
+    if (parts.length == 4 && parts[3].equals("renew")) {
+      counters.count("lease_renew");
+      boolean renewed = store.renewLease(parts[2], clock.getAsLong());
+      return HttpReply.json(renewed ? 200 : 404, "{}");
+    }
+    counters.count("lease_create");
+    long ttl = json.readTree(call.body()).required("ttl_ms").asLong();
+    String id = store.createLease(ttl, clock.getAsLong());
+    return HttpReply.json(200, json.createObjectNode().put("lease", id).toString());
+  }
+
+  private HttpReply entryReply(Optional<StoredEntry> entry, int absentStatus) {
+    return entry
+        .map(
+            e ->
+                HttpReply.json(
+                    200,
+                    json.createObjectNode()
+                        .put("value", e.value())
+                        .put("revision", e.revision())
+                        .toString()))
+        .orElseGet(() -> HttpReply.json(absentStatus, ""));
+  }
+
+  private static CompletableFuture<HttpReply> done(HttpReply reply) {
+    return CompletableFuture.completedFuture(reply);
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/pollenspar/standin/process/MemberState.java
@@ -0,0 +1,27 @@
+package org.pollenspar.standin.process;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.pollenspar.core.connection.Position;
+
+/**
+ * What a database told the platform.
+ *
+ * @param member database
+ * @param reachable whether it answered; the other fields are 0 otherwise
+ * @param fencedTerm terms below it are refused
+ * @param position last log entry
+ */
+record MemberState(Topology.Member member, boolean reachable, long fencedTerm, Position position) {
+
+  static MemberState unreachable(Topology.Member member) {
+    return new MemberState(member, false, 0, Position.ZERO);
+  }
+
+  static MemberState of(Topology.Member member, JsonNode state) {
+    return new MemberState(
+        member,
+        true,
+        state.path("fenced_term").asLong(),
+        new Position(state.path("log_term").asLong(), state.path("offset").asLong()));
+  }
+}
--- a/standin/src/main/java/org/pollenspar/standin/process/StandinMain.java
+++ b/standin/src/main/java/org/pollenspar/standin/process/StandinMain.java
@@ -2,6 +2,8 @@
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import org.pollenspar.core.process.ErrorKind;
 import org.pollenspar.core.process.PollensparException;
@@ -15,19 +17,20 @@
   /** Runs a stand-in until the process is ended. */
   public static void main(String[] arguments) throws InterruptedException {
     DatabaseOptions database = new DatabaseOptions();
+    PlatformOptions platform = new PlatformOptions();
     JCommander commands =
         JCommander.newBuilder()
             .programName("pollenspar-standin")
             .addCommand("database", database)
+            .addCommand("platform", platform)
             .build();
     try {
       commands.parse(arguments);
-      if (database.help || commands.getParsedCommand() == null) {
+      if (database.help || platform.help || commands.getParsedCommand() == null) {
         commands.usage();
         return;
       }
-      DatabaseStandin standin = new DatabaseStandin(database);
-      announce("database " + database.id, standin.port(), standin.controlPort());
+      start(commands.getParsedCommand(), database, platform);
       new CountDownLatch(1).await();
     } catch (ParameterException e) {
       fail(ErrorKind.INVALID_OPTION.message(String.valueOf(e.getMessage())));
@@ -36,8 +39,22 @@
     }
   }
 
-  private static void announce(String name, int port, int controlPort) {
-    System.out.println(name + " listens on port " + port + ", control port " + controlPort);
+  private static void start(String command, DatabaseOptions database, PlatformOptions platform) {
+    if (command.equals("database")) {
+      DatabaseStandin standin = new DatabaseStandin(database);
+      System.out.println(
+          "database "
+              + database.id
+              + " listens on port "
+              + standin.port()
+              + ", control port "
+              + standin.controlPort());
+    } else {
+      Topology topology = Topology.read(Path.of(platform.topology));
+      PlatformStandin standin =
+          new PlatformStandin(new InetSocketAddress(platform.address, platform.port), topology);
+      System.out.println("platform listens on port " + standin.port());
+    }
   }
 
   private static void fail(String message) {
--- /dev/null
+++ b/standin/src/main/java/org/pollenspar/standin/version/KeyValueStore.java
@@ -0,0 +1,110 @@
+package org.pollenspar.standin.version;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Keys with values, revisions, leases and watches. Time is passed in, so that a lease lapses when
+ * {@link #expire} is told of a later time and not before.
+ */
+public final class KeyValueStore {
+  private final Map<String, StoredEntry> entries = new HashMap<>();
+  private final Map<String, Lease> leases = new HashMap<>();
+  private final List<Watch> watches = new ArrayList<>();
+  private long revision;
+  private long nextLease;
+
+  /** A key's value, its revision and the lease that deletes it (empty for none). */
+  public record StoredEntry(String value, long revision, String lease) {}
+
+  /** Answer to a compare-and-swap: whether it was applied, and the key's revision after it. */
+  public record Swap(boolean applied, long revision) {}
+
+  private record Lease(long ttlMillis, long endMillis) {}
+
+  private record Watch(
+      String key, long after, long endMillis, CompletableFuture<Optional<StoredEntry>> answer) {}
+
+  /** Reads a key. */
+  public synchronized Optional<StoredEntry> read(String key) {
+    return Optional.ofNullable(entries.get(key));
+  }
+
+  /** Writes a key if its revision is the expected one; 0 means that it must not exist. */
+  public synchronized Swap compareAndSwap(
+      String key, String value, long expectedRevision, String lease) {
+    StoredEntry current = entries.get(key);
+    long currentRevision = current == null ? 0 : current.revision();
+    boolean leaseKnown = lease.isEmpty() || leases.containsKey(lease);
+    if (currentRevision != expectedRevision || !leaseKnown) {
+      return new Swap(false, currentRevision);
+    }
+    revision++;
+    StoredEntry entry = new StoredEntry(value, revision, lease);
+    entries.put(key, entry);
+    for (Watch watch : List.copyOf(watches)) {
+      if (watch.key().equals(key) && revision > watch.after()) {
+        watches.remove(watch);
+        watch.answer().complete(Optional.of(entry));
+      }
+    }
+    return new Swap(true, revision);
+  }
+
+  /** Creates a lease and returns its id. */
+  public synchronized String createLease(long ttlMillis, long nowMillis) {
+    nextLease++;
+    String id = "lease-" + nextLease;
+    leases.put(id, new Lease(ttlMillis, nowMillis + ttlMillis));
+    return id;
+  }
+
+  /** Renews a lease; returns whether it had not lapsed. */
+  public synchronized boolean renewLease(String id, long nowMillis) {
+    Lease lease = leases.get(id);
+    if (lease == null) {
+      return false;
+    }
+    leases.put(id, new Lease(lease.ttlMillis(), nowMillis + lease.ttlMillis()));
+    return true;
+  }
+
+  /** Waits until the key's revision exceeds {@code after}; empty when the time is over. */
+  public synchronized CompletableFuture<Optional<StoredEntry>> watch(
+      String key, long after, long endMillis) {
+    StoredEntry current = entries.get(key);
+    if (current != null && current.revision() > after) {
+      return CompletableFuture.completedFuture(Optional.of(current));
+    }
+    Watch watch = new Watch(key, after, endMillis, new CompletableFuture<>());
+    watches.add(watch);
+    return watch.answer();
+  }
+
+  /** Ends what is due: leases, with their keys, and watches. */
+  public synchronized void expire(long nowMillis) {
+    leases.values().removeIf(lease -> lease.endMillis() <= nowMillis);
+    entries
+        .values()
+        .removeIf(entry -> !entry.lease().isEmpty() && !leases.containsKey(entry.lease()));
+    endWatches(nowMillis);
+  }
+
+  /** Ends all watches without an answer, as an outage does. */
+  public synchronized void endAllWatches() {
+    endWatches(Long.MAX_VALUE);
+  }
+
+  private void endWatches(long nowMillis) {
+    for (Watch watch : List.copyOf(watches)) {
+      if (watch.endMillis() <= nowMillis) {
+        watches.remove(watch);
+        watch.answer().complete(Optional.empty());
+      }
+    }
+  }
+}
