--- a/proxy/src/main/java/org/pollenspar/proxy/package-info.java
+++ /dev/null
@@ -1,5 +0,0 @@
-/** Placeholder. */
-@NullMarked
-package org.pollenspar.proxy;
-
-import org.jspecify.annotations.NullMarked;
