proxy: run reads and writes of a group at its home

Cause: a home must execute work on scarce connections without ever mixing two requests. Change: one prober per database feeds the group tracker; pools, queues and requests in progress belong to the control thread; each connection has a thread that only does I/O. A write follows WriteProgress step by step and waits for the majority without a connection. A read is answered only after the check of the state that came with it. A connection that is not known to be clean is closed. Ruled out: a concurrent pool shared by worker threads; with one owner neither locks nor a Lincheck test of the pool are needed. Conclusion: next is the path through real sockets.

--- /dev/null
+++ b/proxy/src/main/java/org/pollenspar/proxy/connection/ConnectionMeters.java
@@ -0,0 +1,28 @@
+package org.pollenspar.proxy.connection;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+
+/**
+ * Counters of database connections.
+ *
+ * @param connectionsOpened connections that were opened
+ * @param connectionsClosed connections of a pool that were closed
+ * @param connectionsRefused openings that the database refused with SQLSTATE 53300
+ * @param connectionsFailed openings that failed for another reason
+ */
+public record ConnectionMeters(
+    Counter connectionsOpened,
+    Counter connectionsClosed,
+    Counter connectionsRefused,
+    Counter connectionsFailed) {
+
+  /** Creates the counters in a registry. */
+  public static ConnectionMeters in(MetricRegistry registry) {
+    return new ConnectionMeters(
+        registry.counter("connections.opened"),
+        registry.counter("connections.closed"),
+        registry.counter("connections.refused"),
+        registry.counter("connections.failed"));
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/pollenspar/proxy/connection/Exchange.java
@@ -0,0 +1,114 @@
+package org.pollenspar.proxy.connection;
+
+import java.sql.SQLException;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.pollenspar.core.connection.DatabaseState;
+import org.pollenspar.core.process.ErrorKind;
+import org.pollenspar.core.process.Invariant;
+import org.pollenspar.core.process.InvariantChecker;
+import org.pollenspar.core.process.PollensparError;
+import org.pollenspar.core.request.ResultTable;
+import org.pollenspar.core.request.Statement;
+import org.postgresql.util.PSQLException;
+import org.postgresql.util.ServerErrorMessage;
+
+/** Checks and error texts that reads and writes have in common. */
+final class Exchange {
+  private final Supplier<String> nonces;
+  private final InvariantChecker invariants;
+
+  /**
+   * Creates the checks.
+   *
+   * @param nonces returns a new text on each call; safe for use by several threads
+   */
+  Exchange(Supplier<String> nonces, InvariantChecker invariants) {
+    this.nonces = nonces;
+    this.invariants = invariants;
+  }
+
+  String newNonce() {
+    return nonces.get();
+  }
+
+  /**
+   * Requires that an answer has the expected number of results and carries the nonce (P4).
+   *
+   * @param index index of the state among the results
+   * @throws AnswerFault if not; the connection is marked as broken
+   */
+  DatabaseState state(
+      DatabaseConnection connection, List<ResultTable> tables, int count, int index, String nonce)
+      throws SQLException {
+    Optional<StateAnswer> answer =
+        tables.size() == count ? StateAnswer.parse(tables.get(index)) : Optional.empty();
+    boolean matches = answer.isPresent() && answer.get().nonce().equals(nonce);
+    boolean holds =
+        invariants.check(
+            Invariant.ANSWER_MATCHES_REQUEST,
+            matches,
+            () -> "expected " + count + " results with nonce " + nonce + ", got " + answer);
+    if (!holds || answer.isEmpty()) {
+      connection.markBroken();
+      throw new AnswerFault("the answer does not belong to the request");
+    }
+    return answer.get().state();
+  }
+
+  /** Returns the first statement whose number of rows is not as expected. */
+  static Optional<PollensparError> rowCountFault(
+      List<Statement> statements, List<ResultTable> tables) {
+    for (int i = 0; i < statements.size(); i++) {
+      int expected = statements.get(i).expectedRows();
+      ResultTable table = tables.get(i);
+      long rows = table.columns().isEmpty() ? table.updated() : table.rows().size();
+      if (expected != Statement.ANY_ROWS && rows != expected) {
+        return Optional.of(PollensparError.of(ErrorKind.ROW_COUNT_MISMATCH, i + 1, rows, expected));
+      }
+    }
+    return Optional.empty();
+  }
+
+  /**
+   * Returns the error for a statement that the database refused.
+   *
+   * @param prefix length of the text before the first statement
+   */
+  static PollensparError refused(SQLException e, List<Statement> statements, int prefix) {
+    String text = reason(e) + " (SQLSTATE " + e.getSQLState() + ")";
+    return PollensparError.of(ErrorKind.STATEMENT_REFUSED, number(e, statements, prefix), text);
+  }
+
+  private static String number(SQLException e, List<Statement> statements, int prefix) {
+    if (statements.size() == 1) {
+      return "1";
+    }
+    ServerErrorMessage message =
+        e instanceof PSQLException error ? error.getServerErrorMessage() : null;
+    int position = message == null ? 0 : message.getPosition();
+    int end = prefix;
+    for (int i = 0; i < statements.size() && position > 0; i++) {
+      end += statements.get(i).sql().length() + "; ".length();
+      if (position <= end) {
+        return Integer.toString(i + 1);
+      }
+    }
+    return "(one of " + statements.size() + ")";
+  }
+
+  static PollensparError failed(String databaseId, Throwable e) {
+    return PollensparError.of(ErrorKind.DATABASE_FAILED, databaseId, reason(e));
+  }
+
+  /** Returns the first line of the failure's message. */
+  static String reason(Throwable e) {
+    ServerErrorMessage server =
+        e instanceof PSQLException error ? error.getServerErrorMessage() : null;
+    String message = server == null ? e.getMessage() : server.getMessage();
+    return message == null
+        ? e.getClass().getSimpleName()
+        : message.lines().findFirst().orElse(e.getClass().getSimpleName());
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/pollenspar/proxy/connection/HomePolicy.java
@@ -0,0 +1,65 @@
+package org.pollenspar.proxy.connection;
+
+import java.util.Collection;
+import java.util.Locale;
+import java.util.Optional;
+import org.pollenspar.core.connection.Position;
+import org.pollenspar.core.request.AdmissionQueue;
+import org.pollenspar.core.request.Rank;
+import org.pollenspar.core.request.ReadRouter;
+import org.pollenspar.core.request.WorkRequest;
+
+/** How homes queue requests and choose databases for reads. */
+public enum HomePolicy {
+  /** Ranks with floors; reads at replicas first. */
+  STANDARD {
+    @Override
+    <T> AdmissionQueue<T> newQueue(Collection<Rank> ranks) {
+      return AdmissionQueue.ranked(ranks);
+    }
+
+    @Override
+    ReadRouter router(WorkRequest request) {
+      return REPLICAS_FIRST;
+    }
+  },
+  /**
+   * The comparison: one queue for all ranks; reads at the primary unless a staleness is declared
+   * and the session has no writes.
+   */
+  BASELINE {
+    @Override
+    <T> AdmissionQueue<T> newQueue(Collection<Rank> ranks) {
+      return AdmissionQueue.singleQueue(ranks);
+    }
+
+    @Override
+    ReadRouter router(WorkRequest request) {
+      boolean mayLag =
+          request.kind().stalenessMillis() > 0 && request.sessionPosition().equals(Position.ZERO);
+      return mayLag ? REPLICAS_FIRST : PRIMARY_ONLY;
+    }
+  };
+
+  private static final ReadRouter REPLICAS_FIRST = ReadRouter.replicasFirst();
+  private static final ReadRouter PRIMARY_ONLY = ReadRouter.primaryOnly();
+
+  abstract <T> AdmissionQueue<T> newQueue(Collection<Rank> ranks);
+
+  abstract ReadRouter router(WorkRequest request);
+
+  /** Returns the policy with this name in settings. */
+  public static Optional<HomePolicy> ofName(String name) {
+    for (HomePolicy policy : values()) {
+      if (policy.fileName().equals(name)) {
+        return Optional.of(policy);
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Returns the name used in settings. */
+  public String fileName() {
+    return name().toLowerCase(Locale.ROOT);
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/pollenspar/proxy/connection/HomeQueues.java
@@ -0,0 +1,174 @@
+package org.pollenspar.proxy.connection;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.pollenspar.core.process.ErrorKind;
+import org.pollenspar.core.request.Admission;
+import org.pollenspar.core.request.AdmissionQueue;
+import org.pollenspar.core.request.Rank;
+
+/**
+ * What waits at one home for one group: a queue for the primary, one for the replicas, and the
+ * requests that cannot run on any database yet. Driven by the control thread.
+ */
+final class HomeQueues {
+
+  /** The direction that a queue feeds. */
+  enum Lane {
+    PRIMARY,
+    REPLICAS
+  }
+
+  private final HomePolicy policy;
+  private final Set<Ticket> parked = new HashSet<>();
+  private final Map<Integer, Integer> parkedByLevel = new HashMap<>();
+  private Map<Integer, Rank> ranks = new HashMap<>();
+  private AdmissionQueue<Ticket> primary;
+  private AdmissionQueue<Ticket> replicas;
+
+  HomeQueues(HomePolicy policy, Collection<Rank> declared) {
+    this.policy = policy;
+    declared.forEach(rank -> ranks.put(rank.level(), rank));
+    this.primary = policy.newQueue(ranks.values());
+    this.replicas = policy.newQueue(ranks.values());
+  }
+
+  /**
+   * Takes the ranks of a new configuration version. Levels that it no longer has are kept, since
+   * requests that arrived before still carry them.
+   */
+  void update(Collection<Rank> declared, long nowNanos) {
+    Map<Integer, Rank> merged = new HashMap<>(ranks);
+    declared.forEach(rank -> merged.put(rank.level(), rank));
+    if (merged.equals(ranks)) {
+      return;
+    }
+    ranks = merged;
+    AdmissionQueue<Ticket> newPrimary = policy.newQueue(merged.values());
+    AdmissionQueue<Ticket> newReplicas = policy.newQueue(merged.values());
+    move(primary, newPrimary, nowNanos);
+    move(replicas, newReplicas, nowNanos);
+    primary = newPrimary;
+    replicas = newReplicas;
+  }
+
+  private static void move(AdmissionQueue<Ticket> from, AdmissionQueue<Ticket> to, long nowNanos) {
+    List<Ticket> waiting = from.drain();
+    for (int i = waiting.size() - 1; i >= 0; i--) {
+      Ticket ticket = waiting.get(i);
+      to.putBack(ticket, ticket.rank(), ticket.request().deadlineNanos(), nowNanos);
+    }
+  }
+
+  private AdmissionQueue<Ticket> queue(Lane lane) {
+    return lane == Lane.PRIMARY ? primary : replicas;
+  }
+
+  Admission offer(Lane lane, Ticket ticket, long nowNanos) {
+    if (!ranks.containsKey(ticket.rank().level())) {
+      update(List.of(ticket.rank()), nowNanos);
+    }
+    return queue(lane).offer(ticket, ticket.rank(), ticket.request().deadlineNanos(), nowNanos);
+  }
+
+  void putBack(Lane lane, Ticket ticket, long nowNanos) {
+    queue(lane).putBack(ticket, ticket.rank(), ticket.request().deadlineNanos(), nowNanos);
+  }
+
+  /** Returns the next request that still waits for an answer. */
+  Optional<Ticket> poll(Lane lane, long nowNanos) {
+    return queue(lane).poll(nowNanos);
+  }
+
+  void completed(Lane lane, Rank rank, long serviceNanos, long nowNanos) {
+    queue(lane).completed(rank, serviceNanos, nowNanos);
+  }
+
+  void concurrency(Lane lane, int concurrency) {
+    queue(lane).setConcurrency(concurrency);
+  }
+
+  int length(Lane lane) {
+    return queue(lane).length();
+  }
+
+  int parkedCount() {
+    return parked.size();
+  }
+
+  /** Returns how many requests wait in all. */
+  int length() {
+    return primary.length() + replicas.length() + parked.size();
+  }
+
+  Map<String, Integer> lengthByRank(Lane lane) {
+    Map<String, Integer> lengths = new HashMap<>();
+    ranks.values().forEach(rank -> lengths.put(rank.name(), queue(lane).length(rank)));
+    return lengths;
+  }
+
+  /**
+   * Keeps a request until a probe changes what is known; refused if its rank has as many waiting as
+   * its queue allows.
+   */
+  Optional<ErrorKind> park(Ticket ticket) {
+    int level = ticket.rank().level();
+    int sameRank = parkedByLevel.getOrDefault(level, 0);
+    if (!ticket.started() && sameRank >= ticket.rank().queueLimit()) {
+      return Optional.of(ErrorKind.QUEUE_FULL);
+    }
+    if (parked.add(ticket)) {
+      parkedByLevel.merge(level, 1, Integer::sum);
+    }
+    return Optional.empty();
+  }
+
+  /** Removes and returns all parked requests. */
+  List<Ticket> takeParked() {
+    List<Ticket> taken = new ArrayList<>(parked);
+    taken.sort((a, b) -> Long.signum(a.request().arrivalNanos() - b.request().arrivalNanos()));
+    parked.clear();
+    parkedByLevel.clear();
+    return taken;
+  }
+
+  /** Removes and returns the requests whose deadline has passed. */
+  List<Ticket> expire(long nowNanos) {
+    List<Ticket> expired = new ArrayList<>(primary.expire(nowNanos));
+    expired.addAll(replicas.expire(nowNanos));
+    expired.addAll(takeParked(ticket -> ticket.expired(nowNanos)));
+    return expired;
+  }
+
+  /** Removes and returns the requests that have not started; the others stay. */
+  List<Ticket> takeUnstarted(long nowNanos) {
+    List<Ticket> unstarted = new ArrayList<>();
+    for (Lane lane : Lane.values()) {
+      for (Ticket ticket : queue(lane).drain()) {
+        if (ticket.started()) {
+          putBack(lane, ticket, nowNanos);
+        } else {
+          unstarted.add(ticket);
+        }
+      }
+    }
+    unstarted.addAll(takeParked(ticket -> !ticket.started()));
+    return unstarted;
+  }
+
+  private List<Ticket> takeParked(Predicate<Ticket> condition) {
+    List<Ticket> taken = parked.stream().filter(condition).toList();
+    for (Ticket ticket : taken) {
+      parked.remove(ticket);
+      parkedByLevel.merge(ticket.rank().level(), -1, Integer::sum);
+    }
+    return taken;
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/pollenspar/proxy/connection/ReadStep.java
@@ -0,0 +1,44 @@
+package org.pollenspar.proxy.connection;
+
+import java.sql.SQLException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.pollenspar.core.connection.DatabaseState;
+import org.pollenspar.core.process.PollensparError;
+import org.pollenspar.core.request.ResultTable;
+import org.pollenspar.core.request.Statement;
+
+/** The one round trip of a read: the state and the statements in one simple query. */
+final class ReadStep {
+  private final Exchange exchange;
+
+  ReadStep(Exchange exchange) {
+    this.exchange = exchange;
+  }
+
+  ReadAnswer run(
+      DatabaseConnection connection,
+      String databaseId,
+      List<Statement> statements,
+      Duration timeout) {
+    String nonce = exchange.newNonce();
+    String prefix = StateAnswer.query(nonce) + "; ";
+    String text =
+        prefix + statements.stream().map(Statement::sql).collect(Collectors.joining("; "));
+    try {
+      List<ResultTable> tables = connection.query(text, timeout);
+      DatabaseState state = exchange.state(connection, tables, statements.size() + 1, 0, nonce);
+      List<ResultTable> results = List.copyOf(tables.subList(1, tables.size()));
+      Optional<PollensparError> fault = Exchange.rowCountFault(statements, results);
+      return fault
+          .<ReadAnswer>map(ReadAnswer.Refused::new)
+          .orElseGet(() -> new ReadAnswer.Answered(state, results));
+    } catch (SQLException e) {
+      return SqlState.of(e).refusesStatement()
+          ? new ReadAnswer.Refused(Exchange.refused(e, statements, prefix.length()))
+          : new ReadAnswer.Failed(Exchange.failed(databaseId, e));
+    }
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/pollenspar/proxy/connection/Ticket.java
@@ -0,0 +1,135 @@
+package org.pollenspar.proxy.connection;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.jspecify.annotations.Nullable;
+import org.pollenspar.core.connection.Position;
+import org.pollenspar.core.request.Outcome;
+import org.pollenspar.core.request.Rank;
+import org.pollenspar.core.request.ReadNeed;
+import org.pollenspar.core.request.WorkRequest;
+import org.pollenspar.core.request.WriteProgress;
+
+/** One request at its home, from submission to the answer. Driven by the control thread. */
+final class Ticket {
+  private final WorkRequest request;
+  private final CompletableFuture<Optional<Outcome>> answer;
+  private final @Nullable WriteProgress progress;
+  private @Nullable Slot slot;
+  private @Nullable Position awaited;
+  private long minimumTerm;
+  private long notBeforeNanos;
+  private int attempts;
+
+  /**
+   * The connection that a request holds.
+   *
+   * @param pool pool of the connection
+   * @param connection the connection
+   * @param sinceNanos when it was taken
+   * @param lane queue that the request came from
+   */
+  record Slot(
+      DatabasePool pool, PooledConnection connection, long sinceNanos, HomeQueues.Lane lane) {}
+
+  /**
+   * Creates a ticket.
+   *
+   * @param answer completed with the outcome, or empty if the request was handed back unstarted
+   * @param progress null for reads
+   */
+  Ticket(
+      WorkRequest request,
+      CompletableFuture<Optional<Outcome>> answer,
+      @Nullable WriteProgress progress) {
+    this.request = request;
+    this.answer = answer;
+    this.progress = progress;
+  }
+
+  WorkRequest request() {
+    return request;
+  }
+
+  Rank rank() {
+    return request.kind().rank();
+  }
+
+  ReadNeed need() {
+    return ReadNeed.of(request);
+  }
+
+  boolean write() {
+    return progress != null;
+  }
+
+  /** Returns the progress of a write. */
+  WriteProgress progress() {
+    return java.util.Objects.requireNonNull(progress);
+  }
+
+  boolean expired(long nowNanos) {
+    return request.remainingNanos(nowNanos) <= 0;
+  }
+
+  boolean answered() {
+    return answer.isDone();
+  }
+
+  void answer(Outcome outcome) {
+    answer.complete(Optional.of(outcome));
+  }
+
+  /** Tells the entry that nothing was started, so that it asks another home. */
+  void handBack() {
+    answer.complete(Optional.empty());
+  }
+
+  boolean started() {
+    return attempts > 0;
+  }
+
+  int attempts() {
+    return attempts;
+  }
+
+  Optional<Slot> slot() {
+    return Optional.ofNullable(slot);
+  }
+
+  void start(Slot taken) {
+    slot = taken;
+    attempts++;
+  }
+
+  /** Returns whether this is the attempt that a step was started for. */
+  boolean holds(Slot expected) {
+    return slot == expected;
+  }
+
+  void releaseSlot() {
+    slot = null;
+  }
+
+  Optional<Position> awaited() {
+    return Optional.ofNullable(awaited);
+  }
+
+  void await(@Nullable Position position) {
+    awaited = position;
+  }
+
+  long minimumTerm() {
+    return minimumTerm;
+  }
+
+  /** Sets what the next attempt waits for: a term, and a time that spaces attempts out. */
+  void nextAttempt(long term, long nanos) {
+    minimumTerm = term;
+    notBeforeNanos = nanos;
+  }
+
+  boolean pausing(long nowNanos) {
+    return started() && nowNanos - notBeforeNanos < 0;
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/pollenspar/proxy/connection/WriteSteps.java
@@ -0,0 +1,229 @@
+package org.pollenspar.proxy.connection;
+
+import java.sql.SQLException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
+import org.pollenspar.core.connection.DatabaseState;
+import org.pollenspar.core.process.ErrorKind;
+import org.pollenspar.core.process.Invariant;
+import org.pollenspar.core.process.InvariantChecker;
+import org.pollenspar.core.process.PollensparError;
+import org.pollenspar.core.request.KeyRecord;
+import org.pollenspar.core.request.ResultTable;
+import org.pollenspar.core.request.Statement;
+import org.pollenspar.core.request.WriteEvent;
+import org.pollenspar.proxy.request.ResultJson;
+
+/**
+ * The three round trips of a write, each on the connection's thread. Failures become events; what
+ * they mean is decided by {@link org.pollenspar.core.request.WriteProgress} alone.
+ */
+public final class WriteSteps {
+  private final Exchange exchange;
+  private final InvariantChecker invariants;
+  private final LongSupplier wallMillis;
+
+  /**
+   * Creates the steps.
+   *
+   * @param wallMillis wall clock for the age of idempotency records
+   */
+  WriteSteps(Exchange exchange, InvariantChecker invariants, LongSupplier wallMillis) {
+    this.exchange = exchange;
+    this.invariants = invariants;
+    this.wallMillis = wallMillis;
+  }
+
+  /** Step 1: begins, reads the state, looks the key up and inserts it. */
+  WriteEvent open(DatabaseConnection connection, WriteTarget target, Duration timeout) {
+    return guarded(
+        target,
+        () -> {
+          String nonce = exchange.newNonce();
+          String text =
+              "BEGIN; "
+                  + StateAnswer.query(nonce)
+                  + "; "
+                  + lookupQuery(target)
+                  + "; "
+                  + insert(target, "");
+          List<ResultTable> tables;
+          try {
+            tables = connection.query(text, timeout);
+          } catch (SQLException e) {
+            return afterDuplicate(e, connection, target, timeout);
+          }
+          return new WriteEvent.Opened(exchange.state(connection, tables, 4, 1, nonce));
+        });
+  }
+
+  /** Step 2: the statements and, for the check of the answer, the state. */
+  WriteEvent run(
+      DatabaseConnection connection,
+      WriteTarget target,
+      List<Statement> statements,
+      Duration timeout) {
+    return guarded(
+        target,
+        () -> {
+          String nonce = exchange.newNonce();
+          String text =
+              statements.stream().map(Statement::sql).collect(Collectors.joining("; "))
+                  + "; "
+                  + StateAnswer.query(nonce);
+          List<ResultTable> tables;
+          try {
+            tables = connection.query(text, timeout);
+          } catch (SQLException e) {
+            if (!SqlState.of(e).refusesStatement()) {
+              throw e;
+            }
+            connection.query("ROLLBACK", timeout);
+            return new WriteEvent.StatementsRejected(Exchange.refused(e, statements, 0));
+          }
+          int count = statements.size();
+          exchange.state(connection, tables, count + 1, count, nonce);
+          List<ResultTable> results = List.copyOf(tables.subList(0, count));
+          Optional<PollensparError> fault = Exchange.rowCountFault(statements, results);
+          if (fault.isPresent()) {
+            connection.query("ROLLBACK", timeout);
+            return new WriteEvent.StatementsRejected(fault.get());
+          }
+          return new WriteEvent.StatementsMatched(results);
+        });
+  }
+
+  /** Step 3: writes the results into the key's record, commits and reads the state. */
+  WriteEvent commit(
+      DatabaseConnection connection,
+      WriteTarget target,
+      List<ResultTable> results,
+      Duration timeout) {
+    return guarded(
+        target,
+        () -> {
+          String nonce = exchange.newNonce();
+          String text =
+              "UPDATE pollenspar.keys SET result = "
+                  + literal(ResultJson.record(results))
+                  + " WHERE key = "
+                  + literal(target.key())
+                  + "; COMMIT; "
+                  + StateAnswer.query(nonce);
+          List<ResultTable> tables = connection.query(text, timeout);
+          DatabaseState state = exchange.state(connection, tables, 3, 2, nonce);
+          long records = tables.get(0).updated();
+          if (!invariants.check(
+              Invariant.AT_MOST_ONCE,
+              records == 1,
+              () -> records + " records of key " + target.key())) {
+            throw new AnswerFault("the key has " + records + " records");
+          }
+          return new WriteEvent.Committed(state);
+        });
+  }
+
+  /** Commits the key's record with the result "not run", so that no attempt can run any more. */
+  WriteEvent recordNotRun(
+      DatabaseConnection connection, WriteTarget target, PollensparError error, Duration timeout) {
+    return guarded(
+        target,
+        () -> {
+          String nonce = exchange.newNonce();
+          String text =
+              "BEGIN; "
+                  + insert(target, ResultJson.record(error))
+                  + "; COMMIT; "
+                  + StateAnswer.query(nonce);
+          List<ResultTable> tables;
+          try {
+            tables = connection.query(text, timeout);
+          } catch (SQLException e) {
+            return afterDuplicate(e, connection, target, timeout);
+          }
+          return new WriteEvent.Committed(exchange.state(connection, tables, 4, 3, nonce));
+        });
+  }
+
+  /** Looks up the record that caused a duplicate key; other failures go on. */
+  private WriteEvent afterDuplicate(
+      SQLException e, DatabaseConnection connection, WriteTarget target, Duration timeout)
+      throws SQLException {
+    if (SqlState.of(e) != SqlState.DUPLICATE_KEY) {
+      throw e;
+    }
+    String nonce = exchange.newNonce();
+    String text = "ROLLBACK; " + lookupQuery(target) + "; " + StateAnswer.query(nonce);
+    List<ResultTable> tables = connection.query(text, timeout);
+    DatabaseState state = exchange.state(connection, tables, 3, 2, nonce);
+    List<? extends List<@Nullable String>> rows = tables.get(1).rows();
+    if (rows.isEmpty()) {
+      return new WriteEvent.KeyBusy();
+    }
+    return record(rows.get(0))
+        .<WriteEvent>map(record -> new WriteEvent.KeyFound(record, state))
+        .orElseGet(
+            () ->
+                new WriteEvent.Failed(
+                    PollensparError.of(
+                        ErrorKind.DATABASE_FAILED,
+                        target.databaseId(),
+                        "the idempotency record of the key is not readable")));
+  }
+
+  private static Optional<KeyRecord> record(List<@Nullable String> row) {
+    String fingerprint = row.size() == 2 ? row.get(0) : null;
+    String result = row.size() == 2 ? row.get(1) : null;
+    if (fingerprint == null || result == null) {
+      return Optional.empty();
+    }
+    return ResultJson.parseRecord(result)
+        .map(
+            parsed ->
+                new KeyRecord(
+                    fingerprint,
+                    parsed.<KeyRecord.Result>fold(
+                        KeyRecord.Result.NotRun::new, KeyRecord.Result.Ran::new)));
+  }
+
+  private WriteEvent guarded(WriteTarget target, Step step) {
+    try {
+      return step.run();
+    } catch (SQLException e) {
+      return SqlState.of(e) == SqlState.NOT_PRIMARY
+          ? new WriteEvent.NotPrimary()
+          : new WriteEvent.Failed(Exchange.failed(target.databaseId(), e));
+    }
+  }
+
+  private static String lookupQuery(WriteTarget target) {
+    return "SELECT fingerprint, result FROM pollenspar.keys WHERE key = " + literal(target.key());
+  }
+
+  private String insert(WriteTarget target, String result) {
+    return "INSERT INTO pollenspar.keys (key, fingerprint, result, created_ms) VALUES ("
+        + literal(target.key())
+        + ", "
+        + literal(target.fingerprint())
+        + ", "
+        + literal(result)
+        + ", "
+        + wallMillis.getAsLong()
+        + ")";
+  }
+
+  /** Quotes a text; databases use standard conforming strings, so only quotes are doubled. */
+  private static String literal(String text) {
+    return "'" + text.replace("'", "''") + "'";
+  }
+
+  /** One step that may fail. */
+  @FunctionalInterface
+  private interface Step {
+    WriteEvent run() throws SQLException;
+  }
+}
