proxy: bring requests to a home of their group

Cause: any proxy takes requests of any group, but only its homes hold connections. Ruled out: asking the shortest known queue; all proxies would choose the same home between two reports.

--- /dev/null
+++ b/proxy/src/main/java/org/pollenspar/proxy/process/GroupHomes.java
@@ -0,0 +1,220 @@
+package org.pollenspar.proxy.process;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Collectors;
+import org.pollenspar.core.connection.ConnectionShare;
+import org.pollenspar.core.process.DatabaseEndpoint;
+import org.pollenspar.core.process.Host;
+import org.pollenspar.core.process.HostList;
+import org.pollenspar.core.process.HostRole;
+import org.pollenspar.core.process.Timeline;
+import org.pollenspar.core.request.Outcome;
+import org.pollenspar.core.request.WorkRequest;
+import org.pollenspar.core.version.FleetFile;
+import org.pollenspar.core.version.GroupSpec;
+import org.pollenspar.proxy.connection.DatabaseAddress;
+import org.pollenspar.proxy.connection.GroupHome;
+import org.pollenspar.proxy.connection.HomeContext;
+import org.pollenspar.proxy.connection.HomeReport;
+
+/**
+ * The groups that this proxy is a home of. Driven by the control thread.
+ *
+ * <p>A home that is lost hands back what has not started and closes once the rest is answered. A
+ * proxy that is only a candidate opens a home when it is asked, and closes it when it has not been
+ * asked for a while.
+ */
+public final class GroupHomes {
+  private static final long UNUSED_LIMIT_NANOS = 30_000_000_000L;
+
+  private final String ownId;
+  private final HomeContext context;
+  private final Timeline timeline;
+  private final Map<String, Entry> homes = new HashMap<>();
+  private final Map<String, Integer> lastQueueLengths = new ConcurrentHashMap<>();
+  private Fleet fleet = new Fleet(Optional.empty(), HostList.EMPTY);
+  private boolean draining;
+
+  /** A home and when it was last needed. */
+  private static final class Entry {
+    final GroupHome home;
+    boolean retired;
+    long usedNanos;
+
+    Entry(GroupHome home) {
+      this.home = home;
+    }
+  }
+
+  /** Creates the set without homes. */
+  public GroupHomes(String ownId, HomeContext context, Timeline timeline) {
+    this.ownId = ownId;
+    this.context = context;
+    this.timeline = timeline;
+  }
+
+  /** Takes a new configuration version or host list. */
+  public void update(Fleet newFleet) {
+    fleet = newFleet;
+    Map<String, GroupSpec> groups =
+        newFleet.version().map(version -> version.file().groups()).orElse(Map.of());
+    for (String name : groups.keySet()) {
+      if (newFleet.home(name, ownId) && !draining) {
+        openHome(name);
+      }
+    }
+    homes.forEach(this::refresh);
+  }
+
+  private void refresh(String group, Entry entry) {
+    Optional<FleetFile> file = fleet.version().map(version -> version.file());
+    Optional<GroupSpec> spec = file.map(f -> f.groups().get(group));
+    if (spec.isEmpty() || !fleet.candidate(group, ownId)) {
+      retire(group, entry);
+      return;
+    }
+    updateHome(entry.home, spec.get(), file.get());
+  }
+
+  private void updateHome(GroupHome home, GroupSpec spec, FleetFile file) {
+    int homeCount = Math.max(1, fleet.homes(spec.name()).size());
+    int share = new ConnectionShare(spec.connectionsPerDatabase(), homeCount, homeCount).share();
+    home.update(spec, file.ranks().values(), addresses(spec), share);
+  }
+
+  private List<DatabaseAddress> addresses(GroupSpec spec) {
+    List<DatabaseAddress> addresses = new ArrayList<>();
+    for (Host host : fleet.hosts().hosts()) {
+      if (host.role() != HostRole.BACKEND_SERVER) {
+        continue;
+      }
+      for (DatabaseEndpoint database : host.databases()) {
+        if (spec.databases().contains(database.id())) {
+          addresses.add(
+              new DatabaseAddress(
+                  database.id(),
+                  host.address(),
+                  database.port(),
+                  host.domain(),
+                  !host.state().acceptsNewWork()));
+        }
+      }
+    }
+    return addresses;
+  }
+
+  private Entry openHome(String group) {
+    Entry entry = homes.get(group);
+    if (entry == null) {
+      FleetFile file = fleet.version().orElseThrow().file();
+      GroupSpec spec = java.util.Objects.requireNonNull(file.groups().get(group));
+      entry = new Entry(new GroupHome(context, spec, file.ranks().values()));
+      homes.put(group, entry);
+      updateHome(entry.home, spec, file);
+      timeline.record("home_gained", group, ownId);
+    } else if (entry.retired) {
+      entry.retired = false;
+      entry.home.resume();
+      timeline.record("home_gained", group, ownId);
+    }
+    entry.usedNanos = context.pools().control().nowNanos();
+    return entry;
+  }
+
+  private void retire(String group, Entry entry) {
+    if (!entry.retired) {
+      entry.retired = true;
+      entry.home.retire();
+      timeline.record("home_lost", group, ownId);
+    }
+  }
+
+  /**
+   * Submits a request.
+   *
+   * @return the outcome; empty if this proxy is no home of the group or hands the request back
+   */
+  public CompletableFuture<Optional<Outcome>> submit(WorkRequest request) {
+    String group = request.group();
+    boolean declared = fleet.version().map(v -> v.file().groups().containsKey(group)).orElse(false);
+    if (draining || !declared || !fleet.candidate(group, ownId)) {
+      return CompletableFuture.completedFuture(Optional.empty());
+    }
+    return openHome(group).home.submit(request);
+  }
+
+  /** Returns how many requests waited here for a group at the last tick; callable anywhere. */
+  public int lastQueueLength(String group) {
+    return lastQueueLengths.getOrDefault(group, 0);
+  }
+
+  /** Returns what this home knows of a group; empty if it does not probe it. */
+  public Optional<HomeReport> report(String group) {
+    return Optional.ofNullable(homes.get(group))
+        .filter(entry -> !entry.retired)
+        .map(entry -> entry.home.report());
+  }
+
+  /** Returns the reports of all homes by group. */
+  public Map<String, HomeReport> reports() {
+    Map<String, HomeReport> reports = new TreeMap<>();
+    homes.forEach((group, entry) -> reports.put(group, entry.home.report()));
+    return reports;
+  }
+
+  /** Does what depends on time alone. */
+  public void tick() {
+    homes.forEach(
+        (group, entry) -> {
+          entry.home.tick();
+          lastQueueLengths.put(group, entry.home.queueLength());
+        });
+    long now = context.pools().control().nowNanos();
+    Set<String> finished =
+        homes.entrySet().stream()
+            .filter(home -> finished(home.getKey(), home.getValue(), now))
+            .map(Map.Entry::getKey)
+            .collect(Collectors.toSet());
+    for (String group : finished) {
+      Entry entry = homes.remove(group);
+      if (entry != null) {
+        retire(group, entry);
+        entry.home.close();
+        lastQueueLengths.remove(group);
+      }
+    }
+  }
+
+  private boolean finished(String group, Entry entry, long nowNanos) {
+    if (entry.home.running() > 0 || draining) {
+      return false;
+    }
+    boolean unused = !fleet.home(group, ownId) && nowNanos - entry.usedNanos > UNUSED_LIMIT_NANOS;
+    return entry.retired || unused;
+  }
+
+  /** Accepts no more requests and hands back those that have not started. */
+  public void drain() {
+    draining = true;
+    homes.values().forEach(entry -> entry.home.retire());
+  }
+
+  /** Returns the number of requests that have started and are not answered. */
+  public int running() {
+    return homes.values().stream().mapToInt(entry -> entry.home.running()).sum();
+  }
+
+  /** Closes all connections. */
+  public void close() {
+    homes.values().forEach(entry -> entry.home.close());
+    homes.clear();
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/pollenspar/proxy/request/CallerHandler.java
@@ -0,0 +1,126 @@
+package org.pollenspar.proxy.request;
+
+import io.vavr.control.Either;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+import org.pollenspar.core.connection.SessionToken;
+import org.pollenspar.core.process.ErrorKind;
+import org.pollenspar.core.process.PollensparError;
+import org.pollenspar.core.version.FleetVersion;
+import org.pollenspar.net.process.ControlThread;
+import org.pollenspar.net.request.HttpCall;
+import org.pollenspar.net.request.HttpHandler;
+import org.pollenspar.net.request.HttpReply;
+import org.pollenspar.proxy.process.Fleet;
+
+/** Answers callers: {@code POST /v1/sessions} and {@code POST /v1/work}. */
+public final class CallerHandler implements HttpHandler {
+  private static final String SESSIONS = "/v1/sessions";
+  private static final String WORK = "/v1/work";
+  private static final long RETRY_AFTER_MILLIS = 1_000;
+
+  private final Supplier<Fleet> fleet;
+  private final Supplier<Optional<PollensparError>> refusal;
+  private final WorkParser parser;
+  private final AnswerWriter writer;
+  private final Forwarder forwarder;
+  private final ControlThread control;
+  private final EntryMeters meters;
+  private final Supplier<String> newSessionId;
+  private final Executor answers;
+  private final AtomicLong requestIds = new AtomicLong();
+  private final AtomicInteger running = new AtomicInteger();
+
+  /**
+   * Creates the handler.
+   *
+   * @param fleet the current configuration version and host list
+   * @param refusal why this proxy takes no new work now; empty if it does
+   * @param answers runs what follows an outcome, so that the control thread does not
+   */
+  public CallerHandler(
+      Supplier<Fleet> fleet,
+      Supplier<Optional<PollensparError>> refusal,
+      WorkParser parser,
+      AnswerWriter writer,
+      Forwarder forwarder,
+      ControlThread control,
+      EntryMeters meters,
+      Supplier<String> newSessionId,
+      Executor answers) {
+    this.fleet = fleet;
+    this.refusal = refusal;
+    this.parser = parser;
+    this.writer = writer;
+    this.forwarder = forwarder;
+    this.control = control;
+    this.meters = meters;
+    this.newSessionId = newSessionId;
+    this.answers = answers;
+  }
+
+  @Override
+  public CompletionStage<HttpReply> handle(HttpCall call) {
+    if (!call.method().equals("POST")) {
+      return refuse(
+          PollensparError.of(ErrorKind.NO_SUCH_ENDPOINT, call.method() + " " + call.path()), 0);
+    }
+    return switch (call.path()) {
+      case SESSIONS -> openSession();
+      case WORK -> work(call.body());
+      default -> refuse(PollensparError.of(ErrorKind.NO_SUCH_ENDPOINT, call.path()), 0);
+    };
+  }
+
+  private CompletionStage<HttpReply> openSession() {
+    meters.sessionOpened();
+    SessionToken session = new SessionToken(newSessionId.get(), Map.of());
+    return CompletableFuture.completedFuture(writer.session(session));
+  }
+
+  private CompletionStage<HttpReply> work(String body) {
+    long arrival = control.nowNanos();
+    Fleet current = fleet.get();
+    Optional<PollensparError> refused = refusal.get();
+    if (refused.isPresent()) {
+      return refuse(refused.get(), RETRY_AFTER_MILLIS);
+    }
+    Optional<FleetVersion> version = current.version();
+    if (version.isEmpty()) {
+      return refuse(PollensparError.of(ErrorKind.NOT_CONFIGURED), RETRY_AFTER_MILLIS);
+    }
+    Either<PollensparError, ParsedWork> parsed =
+        parser.parse(body, version.get(), requestIds.incrementAndGet(), arrival);
+    return parsed.fold(error -> refuse(error, 0), work -> execute(work, current));
+  }
+
+  private CompletionStage<HttpReply> execute(ParsedWork work, Fleet current) {
+    running.incrementAndGet();
+    return forwarder
+        .execute(work, current)
+        .whenComplete((outcome, failure) -> running.decrementAndGet())
+        .thenApplyAsync(
+            outcome -> {
+              long nanos = control.nowNanos() - work.request().arrivalNanos();
+              meters.answered(work.request().kind().rank(), outcome, nanos);
+              return writer.reply(work, outcome);
+            },
+            answers);
+  }
+
+  private CompletionStage<HttpReply> refuse(PollensparError error, long retryAfterMillis) {
+    meters.refused(error.kind());
+    return CompletableFuture.completedFuture(writer.notRun(error, retryAfterMillis));
+  }
+
+  /** Returns the number of callers' requests that are not answered yet. */
+  public int running() {
+    return running.get();
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/pollenspar/proxy/request/PeerRequests.java
@@ -0,0 +1,144 @@
+package org.pollenspar.proxy.request;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
+import org.pollenspar.core.connection.DatabaseState;
+import org.pollenspar.core.request.Outcome;
+import org.pollenspar.core.request.WorkKind;
+import org.pollenspar.core.request.WorkRequest;
+import org.pollenspar.net.connection.PeerHandler;
+import org.pollenspar.net.process.ControlThread;
+import org.pollenspar.proxy.connection.HomeReport;
+import org.pollenspar.proxy.process.GroupHomes;
+import org.pollenspar.proxy.process.KindHistory;
+import org.pollenspar.wire.DatabaseReport;
+import org.pollenspar.wire.Envelope;
+import org.pollenspar.wire.GroupReportMessage;
+import org.pollenspar.wire.OutcomeCode;
+import org.pollenspar.wire.WorkRequestMessage;
+import org.pollenspar.wire.WorkResponseMessage;
+
+/**
+ * Answers other processes: work for homes on this proxy, reports on groups for failover agents, and
+ * everything that spreads configuration and host list.
+ */
+public final class PeerRequests implements PeerHandler {
+  private static final int NO_PROBE = -1;
+
+  private final String ownDomain;
+  private final ControlThread control;
+  private final GroupHomes homes;
+  private final KindHistory kinds;
+  private final PeerHandler spreading;
+  private final Executor answers;
+  private final AtomicLong requestIds = new AtomicLong(Long.MIN_VALUE);
+
+  /**
+   * Creates the handler.
+   *
+   * @param kinds kinds of work by configuration version
+   * @param spreading answers digests and requests for values
+   * @param answers encodes outcomes, so that the control thread does not
+   */
+  public PeerRequests(
+      String ownDomain,
+      ControlThread control,
+      GroupHomes homes,
+      KindHistory kinds,
+      PeerHandler spreading,
+      Executor answers) {
+    this.ownDomain = ownDomain;
+    this.control = control;
+    this.homes = homes;
+    this.kinds = kinds;
+    this.spreading = spreading;
+    this.answers = answers;
+  }
+
+  @Override
+  public CompletionStage<Envelope.Builder> handle(Envelope request) {
+    return switch (request.getBodyCase()) {
+      case WORK_REQUEST -> work(request.getWorkRequest());
+      case GROUP_REPORT_REQUEST -> report(request.getGroupReportRequest().getGroup());
+      default -> spreading.handle(request);
+    };
+  }
+
+  private CompletionStage<Envelope.Builder> work(WorkRequestMessage message) {
+    Optional<WorkKind> kind = kinds.kind(message.getConfigVersion(), message.getKind());
+    if (kind.isEmpty()) {
+      return CompletableFuture.completedFuture(notHome(0));
+    }
+    WorkRequest request =
+        PeerMapping.request(message, kind.get(), requestIds.incrementAndGet(), control.nowNanos());
+    return control
+        .call(() -> homes.submit(request))
+        .thenCompose(Function.identity())
+        .thenApplyAsync(outcome -> response(outcome, message), answers);
+  }
+
+  private Envelope.Builder response(Optional<Outcome> outcome, WorkRequestMessage message) {
+    int length = homes.lastQueueLength(message.getGroup());
+    if (outcome.isEmpty()) {
+      return notHome(length);
+    }
+    return Envelope.newBuilder()
+        .setWorkResponse(
+            PeerMapping.response(outcome.get()).toBuilder()
+                .setQueueLength(length)
+                .setConfigVersion(message.getConfigVersion()));
+  }
+
+  private static Envelope.Builder notHome(int queueLength) {
+    return Envelope.newBuilder()
+        .setWorkResponse(
+            WorkResponseMessage.newBuilder()
+                .setOutcome(OutcomeCode.NOT_HOME)
+                .setQueueLength(queueLength));
+  }
+
+  private CompletionStage<Envelope.Builder> report(String group) {
+    return control
+        .call(() -> homes.report(group))
+        .thenApply(report -> Envelope.newBuilder().setGroupReport(message(group, report)));
+  }
+
+  private GroupReportMessage message(String group, Optional<HomeReport> report) {
+    GroupReportMessage.Builder message =
+        GroupReportMessage.newBuilder()
+            .setGroup(group)
+            .setDomain(ownDomain)
+            .setHome(report.isPresent());
+    report.ifPresent(
+        known -> known.databases().forEach(database -> message.addDatabases(entry(database))));
+    return message.build();
+  }
+
+  private static DatabaseReport entry(HomeReport.Database database) {
+    DatabaseReport.Builder entry =
+        DatabaseReport.newBuilder()
+            .setDatabase(database.id())
+            .setProbeAgeMillis(
+                database.probeAgeNanos().isPresent()
+                    ? (int)
+                        Math.min(
+                            Integer.MAX_VALUE,
+                            TimeUnit.NANOSECONDS.toMillis(database.probeAgeNanos().getAsLong()))
+                    : NO_PROBE);
+    database.state().ifPresent(state -> add(entry, state));
+    return entry.build();
+  }
+
+  private static void add(DatabaseReport.Builder entry, DatabaseState state) {
+    entry
+        .setRole(state.role().wireName())
+        .setFencedTerm(state.fencedTerm())
+        .setLogTerm(state.logTerm())
+        .setLogOffset(state.logOffset());
+  }
+}
