--- /dev/null
+++ b/standin/src/main/java/org/pollenspar/standin/process/StandinMain.java
@@ -0,0 +1,64 @@
+package org.pollenspar.standin.process;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import org.pollenspar.core.process.ErrorKind;
+import org.pollenspar.core.process.PollensparException;
+
+/** Command line of the stand-ins: {@code database} and {@code platform}. */
+public final class StandinMain {
+  private static final int EXIT_USAGE = 2;
+
+  private StandinMain() {}
+
+  /** Runs a stand-in until the process is ended. */
+  public static void main(String[] arguments) throws InterruptedException {
+    DatabaseOptions database = new DatabaseOptions();
+    PlatformOptions platform = new PlatformOptions();
+    JCommander commands =
+        JCommander.newBuilder()
+            .programName("pollenspar-standin")
+            .addCommand("database", database)
+            .addCommand("platform", platform)
+            .build();
+    try {
+      commands.parse(arguments);
+      if (database.help || platform.help || commands.getParsedCommand() == null) {
+        commands.usage();
+        return;
+      }
+      start(commands.getParsedCommand(), database, platform);
+      new CountDownLatch(1).await();
+    } catch (ParameterException e) {
+      fail(ErrorKind.INVALID_OPTION.message(String.valueOf(e.getMessage())));
+    } catch (PollensparException e) {
+      fail(e.error().message());
+    }
+  }
+
+  private static void start(String command, DatabaseOptions database, PlatformOptions platform) {
+    if (command.equals("database")) {
+      DatabaseStandin standin = new DatabaseStandin(database);
+      System.out.println(
+          "database "
+              + database.id
+              + " listens on port "
+              + standin.port()
+              + ", control port "
+              + standin.controlPort());
+    } else {
+      Topology topology = Topology.read(Path.of(platform.topology));
+      PlatformStandin standin =
+          new PlatformStandin(new InetSocketAddress(platform.address, platform.port), topology);
+      System.out.println("platform listens on port " + standin.port());
+    }
+  }
+
+  private static void fail(String message) {
+    System.err.println(message);
+    System.exit(EXIT_USAGE);
+  }
+}
