Add load generator that checks the promises it can see

Reports of service under floods need callers that do not slow down with the proxies, and a verdict on promises that does not come from the proxies themselves. Arrivals follow the clock with exponential pauses, and times count from the planned arrival; closed-loop callers were ruled out because they offer less exactly when the proxies are slow.

Checked are: the session's counter (P1, P5), redemptions against balances and ledger (P2, P3, P5, P6), echoes and whole rows (P4). Writes of unknown outcome are repeated with the same key until settled. A counter takes each number once, so a read names the write that it saw.

Not yet run against the real proxy.

--- a/load/src/main/java/org/pollenspar/load/package-info.java
+++ b/load/src/main/java/org/pollenspar/load/package-info.java
@@ -1,4 +1,4 @@
-/** Placeholder. */
+/** Load generator: open-loop callers, promise checks and reports. */
 @NullMarked
 package org.pollenspar.load;
 
--- /dev/null
+++ b/load/src/main/java/org/pollenspar/load/process/AnswerChecks.java
@@ -0,0 +1,60 @@
+package org.pollenspar.load.process;
+
+import java.util.List;
+import java.util.Map;
+import org.pollenspar.load.connection.CallerSession;
+import org.pollenspar.load.request.Answer;
+import org.pollenspar.load.request.Check;
+
+/** Checks the rows of a done answer: they must be whole, its own and new enough. */
+final class AnswerChecks {
+  private final BrokenPromises broken;
+
+  AnswerChecks(BrokenPromises broken) {
+    this.broken = broken;
+  }
+
+  /**
+   * Checks an answer.
+   *
+   * @param values what the placeholders of the request stood for
+   * @param floor counter that was confirmed before the request was sent
+   */
+  void check(
+      Check check, Map<String, String> values, CallerSession session, long floor, Answer answer) {
+    if (check.writes()) {
+      return;
+    }
+    List<List<String>> rows = answer.rows(0);
+    String echo = values.getOrDefault("echo", "");
+    for (List<String> row : rows) {
+      if (row.isEmpty() || !row.get(0).equals(echo)) {
+        broken.add("P4: request " + echo + " received the row " + row);
+        return;
+      }
+    }
+    switch (check) {
+      case COUNTER_READ -> checkCounter(rows, echo, session, floor);
+      case LOOKUP -> checkAccount(rows, echo, values.getOrDefault("account", ""));
+      default -> {
+        // The echo is all that is known of the plan's own statements.
+      }
+    }
+  }
+
+  private void checkCounter(
+      List<List<String>> rows, String echo, CallerSession session, long floor) {
+    if (rows.size() != 1 || rows.get(0).size() != 2) {
+      broken.add("P4: request " + echo + " received " + rows + " instead of one counter");
+      return;
+    }
+    session.checkRead(Long.parseLong(rows.get(0).get(1)), floor).ifPresent(broken::add);
+  }
+
+  private void checkAccount(List<List<String>> rows, String echo, String account) {
+    boolean whole = rows.size() == 1 && rows.get(0).size() == 3;
+    if (!whole || !rows.get(0).get(1).equals(account)) {
+      broken.add("P4: request " + echo + " for account " + account + " received " + rows);
+    }
+  }
+}
--- /dev/null
+++ b/load/src/main/java/org/pollenspar/load/process/Callers.java
@@ -0,0 +1,191 @@
+package org.pollenspar.load.process;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.random.RandomGenerator;
+import org.pollenspar.load.connection.CallerSession;
+import org.pollenspar.load.request.Answer;
+import org.pollenspar.load.request.Answer.Outcome;
+import org.pollenspar.load.request.Check;
+import org.pollenspar.load.request.KindPlan;
+import org.pollenspar.load.request.WorkCall;
+
+/**
+ * Sends arriving requests without waiting for earlier ones, and follows each to its end: a write
+ * whose outcome is unknown is sent again with the same key until it is settled.
+ */
+final class Callers {
+  private static final long RETRY_MILLIS = 200;
+
+  private final LoadPlan plan;
+  private final Settings settings;
+  private final ProxyClient client;
+  private final List<CallerSession> sessions;
+  private final StatisticsBoard board;
+  private final Redemptions redemptions;
+  private final BrokenPromises broken;
+  private final AnswerChecks checks;
+  private final ScheduledExecutorService timer;
+  private final RandomGenerator random;
+  private final AtomicInteger inFlight = new AtomicInteger();
+  private volatile boolean giveUp;
+  private long sequence;
+
+  Callers(
+      LoadPlan plan,
+      Settings settings,
+      ProxyClient client,
+      List<CallerSession> sessions,
+      StatisticsBoard board,
+      Redemptions redemptions,
+      BrokenPromises broken,
+      ScheduledExecutorService timer,
+      RandomGenerator random) {
+    this.plan = plan;
+    this.settings = settings;
+    this.client = client;
+    this.sessions = sessions;
+    this.board = board;
+    this.redemptions = redemptions;
+    this.broken = broken;
+    this.checks = new AnswerChecks(broken);
+    this.timer = timer;
+    this.random = random;
+  }
+
+  /** A request on its way. */
+  private record Pending(
+      String phase,
+      KindPlan kind,
+      CallerSession session,
+      Map<String, String> values,
+      WorkCall call,
+      long arrivedNanos) {}
+
+  /** Sends a request that arrived at a time; called by one thread only. */
+  void arrive(String phase, KindPlan kind, long arrivedNanos) {
+    board.record(phase, kind, KindStatistics::offered);
+    Map<String, String> values = new HashMap<>();
+    Optional<CallerSession> session = chooseSession(kind.check(), values);
+    if (session.isEmpty() || inFlight.get() >= settings.maxInFlight()) {
+      session.filter(s -> kind.check() == Check.COUNTER_WRITE).ifPresent(s -> s.writeNotRun());
+      board.record(phase, kind, KindStatistics::notSent);
+      return;
+    }
+    int group = random.nextInt(plan.groups().size());
+    boolean onCounter = kind.check() == Check.COUNTER_WRITE || kind.check() == Check.COUNTER_READ;
+    String groupName = onCounter ? session.get().group() : plan.groups().get(group);
+    sequence++;
+    values.put("echo", settings.runId() + "-r" + sequence);
+    values.put("key", settings.runId() + "-k" + sequence);
+    values.put("session", session.get().id());
+    values.put(
+        "account", Setup.accountId(settings.runId(), group, random.nextInt(plan.accounts())));
+    WorkCall call = WorkCall.of(kind, groupName, values);
+    inFlight.incrementAndGet();
+    send(new Pending(phase, kind, session.get(), values, call, arrivedNanos), false);
+  }
+
+  /** Returns the number of requests that are not settled. */
+  int inFlight() {
+    return inFlight.get();
+  }
+
+  /** Stops settling unknown outcomes. */
+  void giveUp() {
+    giveUp = true;
+  }
+
+  private Optional<CallerSession> chooseSession(Check check, Map<String, String> values) {
+    int first = random.nextInt(sessions.size());
+    for (int i = 0; i < sessions.size(); i++) {
+      CallerSession session = sessions.get((first + i) % sessions.size());
+      if (!session.available()) {
+        continue;
+      }
+      if (check != Check.COUNTER_WRITE) {
+        return Optional.of(session);
+      }
+      Optional<Long> value = session.startWrite();
+      if (value.isPresent()) {
+        values.put("value", Long.toString(value.get()));
+        return Optional.of(session);
+      }
+    }
+    return Optional.empty();
+  }
+
+  private void send(Pending pending, boolean retry) {
+    // The floor is read before the tokens: a write is confirmed only after its token is kept.
+    long floor = pending.session().confirmed();
+    List<String> tokens = pending.session().tokens();
+    client
+        .send(pending.call(), tokens, retry)
+        .thenAccept(answer -> answered(pending, answer, tokens, floor, retry))
+        .whenComplete(
+            (nothing, failure) -> {
+              if (failure != null) {
+                broken.add("P4: answer to " + pending.values().get("echo") + ": " + failure);
+                inFlight.decrementAndGet();
+              }
+            });
+  }
+
+  private void answered(
+      Pending pending, Answer answer, List<String> tokens, long floor, boolean retry) {
+    if (answer.outcome() != Outcome.DONE) {
+      board.countError(answer.error());
+    }
+    if (answer.outcome() != Outcome.UNKNOWN) {
+      pending.session().accept(tokens, answer.token());
+      settle(pending, answer, floor);
+      return;
+    }
+    if (!retry) {
+      board.record(pending.phase(), pending.kind(), KindStatistics::unknown);
+    }
+    if (!pending.call().settles()) {
+      inFlight.decrementAndGet();
+    } else if (giveUp) {
+      settle(pending, answer, floor);
+    } else {
+      var unused = timer.schedule(() -> send(pending, true), RETRY_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void settle(Pending pending, Answer answer, long floor) {
+    KindPlan kind = pending.kind();
+    if (kind.check() == Check.REDEEM) {
+      redemptions.settled(
+          pending.values().getOrDefault("account", ""), pending.call().key(), answer.outcome());
+    }
+    if (answer.outcome() == Outcome.DONE) {
+      done(pending, answer, floor);
+    } else if (answer.outcome() == Outcome.NOT_RUN) {
+      if (kind.check() == Check.COUNTER_WRITE) {
+        pending.session().writeNotRun();
+      }
+      board.record(pending.phase(), kind, KindStatistics::notRun);
+    } else {
+      board.record(pending.phase(), kind, KindStatistics::unsettled);
+    }
+    inFlight.decrementAndGet();
+  }
+
+  private void done(Pending pending, Answer answer, long floor) {
+    KindPlan kind = pending.kind();
+    checks.check(kind.check(), pending.values(), pending.session(), floor, answer);
+    if (kind.check() == Check.COUNTER_WRITE) {
+      pending.session().writeDone();
+    }
+    long now = System.nanoTime();
+    long latency = now - pending.arrivedNanos();
+    boolean inTime = latency <= TimeUnit.MILLISECONDS.toNanos(kind.deadlineMillis());
+    board.record(pending.phase(), kind, s -> s.done(now, latency, inTime, answer.fromReplica()));
+  }
+}
--- /dev/null
+++ b/load/src/main/java/org/pollenspar/load/process/KindStatistics.java
@@ -0,0 +1,106 @@
+package org.pollenspar.load.process;
+
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
+
+/** Counts and times of one kind in one phase, or the sum of several. */
+public final class KindStatistics {
+  private static final long HIGHEST_MICROS = TimeUnit.MINUTES.toMicros(5);
+  private static final int DIGITS = 3;
+
+  private final Histogram latencyMicros = new Histogram(HIGHEST_MICROS, DIGITS);
+  private long offered;
+  private long notSent;
+  private long done;
+  private long inDeadline;
+  private long notRun;
+  private long unknown;
+  private long unsettled;
+  private long fromReplica;
+  private long lastDoneNanos;
+  private long longestGapNanos;
+
+  /** Creates empty statistics of a phase that starts at a time. */
+  public KindStatistics(long startNanos) {
+    lastDoneNanos = startNanos;
+  }
+
+  /** A snapshot for the report; times in milliseconds. */
+  public record Summary(
+      long offered,
+      long notSent,
+      long done,
+      long inDeadline,
+      long notRun,
+      long unknown,
+      long unsettled,
+      long fromReplica,
+      double p50,
+      double p99,
+      double maximum,
+      double gap) {}
+
+  /** Starts the measurement of gaps, when the phase starts. */
+  public synchronized void phaseStarted(long nowNanos) {
+    lastDoneNanos = nowNanos;
+  }
+
+  /** Counts an arrival. */
+  public synchronized void offered() {
+    offered++;
+  }
+
+  /** Counts an arrival that the generator could not send. */
+  public synchronized void notSent() {
+    notSent++;
+  }
+
+  /** Counts a first answer that left the outcome open. */
+  public synchronized void unknown() {
+    unknown++;
+  }
+
+  /** Counts a request whose outcome was not settled in time. */
+  public synchronized void unsettled() {
+    unsettled++;
+  }
+
+  /** Counts a request that was not run. */
+  public synchronized void notRun() {
+    notRun++;
+  }
+
+  /** Counts a request that was done. */
+  public synchronized void done(
+      long nowNanos, long latencyNanos, boolean withinDeadline, boolean replica) {
+    done++;
+    inDeadline += withinDeadline ? 1 : 0;
+    fromReplica += replica ? 1 : 0;
+    long micros = TimeUnit.NANOSECONDS.toMicros(latencyNanos);
+    latencyMicros.recordValue(Math.min(Math.max(micros, 0), HIGHEST_MICROS));
+    longestGapNanos = Math.max(longestGapNanos, nowNanos - lastDoneNanos);
+    lastDoneNanos = Math.max(lastDoneNanos, nowNanos);
+  }
+
+  /** Counts the time since the last done answer up to the end of the phase. */
+  public synchronized void phaseEnded(long nowNanos) {
+    longestGapNanos = Math.max(longestGapNanos, nowNanos - lastDoneNanos);
+  }
+
+  /** Returns the figures. */
+  public synchronized Summary summary() {
+    return new Summary(
+        offered,
+        notSent,
+        done,
+        inDeadline,
+        notRun,
+        unknown,
+        unsettled,
+        fromReplica,
+        latencyMicros.getValueAtPercentile(50) / 1e3,
+        latencyMicros.getValueAtPercentile(99) / 1e3,
+        latencyMicros.getMaxValue() / 1e3,
+        longestGapNanos / 1e6);
+  }
+}
--- /dev/null
+++ b/load/src/main/java/org/pollenspar/load/process/LoadReport.java
@@ -0,0 +1,118 @@
+package org.pollenspar.load.process;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.StringJoiner;
+import org.pollenspar.load.process.KindStatistics.Summary;
+import org.pollenspar.load.process.StatisticsBoard.Row;
+
+/** The figures of a run as text and as CSV. Times are in milliseconds. */
+public final class LoadReport {
+  private static final String CSV_HEADER =
+      "phase,rank,kind,offered,not_sent,done,done_in_deadline,not_run,unknown,unsettled,"
+          + "p50_ms,p99_ms,max_ms,gap_ms,replica_share";
+
+  private final LoadPlan plan;
+  private final StatisticsBoard board;
+  private final BrokenPromises broken;
+
+  LoadReport(LoadPlan plan, StatisticsBoard board, BrokenPromises broken) {
+    this.plan = plan;
+    this.board = board;
+    this.broken = broken;
+  }
+
+  /** Returns the number of observations that a promise forbids. */
+  public long brokenPromises() {
+    return broken.count();
+  }
+
+  /** Returns the figures as CSV. */
+  public String csv() {
+    StringJoiner lines = new StringJoiner("\n", CSV_HEADER + "\n", "\n");
+    for (Map.Entry<Row, KindStatistics> entry : board.rows().entrySet()) {
+      Row row = entry.getKey();
+      Summary s = entry.getValue().summary();
+      lines.add(
+          String.format(
+              Locale.ROOT,
+              "%s,%d,%s,%d,%d,%d,%d,%d,%d,%d,%.3f,%.3f,%.3f,%.1f,%s",
+              row.phase(),
+              row.rank(),
+              row.kind(),
+              s.offered(),
+              s.notSent(),
+              s.done(),
+              s.inDeadline(),
+              s.notRun(),
+              s.unknown(),
+              s.unsettled(),
+              s.p50(),
+              s.p99(),
+              s.maximum(),
+              s.gap(),
+              row.reads() ? String.format(Locale.ROOT, "%.4f", replicaShare(s)) : ""));
+    }
+    return lines.toString();
+  }
+
+  /** Returns the figures as a table, with broken promises at the end. */
+  public String text() {
+    StringJoiner lines = new StringJoiner("\n", "", "\n");
+    lines.add(
+        "%-14s %4s %-20s %8s %8s %7s %8s %7s %9s %8s %8s %8s %8s %7s"
+            .formatted(
+                "phase",
+                "rank",
+                "kind",
+                "offered",
+                "done",
+                "in time",
+                "not run",
+                "unknown",
+                "unsettled",
+                "p50 ms",
+                "p99 ms",
+                "max ms",
+                "gap ms",
+                "replica"));
+    board.rows().forEach((row, statistics) -> lines.add(line(row, statistics.summary())));
+    long notSent =
+        board.rows().entrySet().stream()
+            .filter(e -> e.getKey().phase().equals(StatisticsBoard.WHOLE_RUN))
+            .filter(e -> !e.getKey().kind().equals(StatisticsBoard.ALL_KINDS))
+            .mapToLong(e -> e.getValue().summary().notSent())
+            .sum();
+    lines.add("kinds " + plan.kinds().size() + ", not sent by the generator: " + notSent);
+    lines.add("answers other than done: " + board.errors());
+    lines.add("broken promises: " + broken.count());
+    List<String> kept = broken.kept();
+    kept.forEach(lines::add);
+    return lines.toString();
+  }
+
+  private static String line(Row row, Summary s) {
+    return String.format(
+        Locale.ROOT,
+        "%-14s %4d %-20s %8d %8d %6.2f%% %8d %7d %9d %8.1f %8.1f %8.1f %8.0f %7s",
+        row.phase(),
+        row.rank(),
+        row.kind(),
+        s.offered(),
+        s.done(),
+        s.offered() == 0 ? 100.0 : 100.0 * s.inDeadline() / s.offered(),
+        s.notRun(),
+        s.unknown(),
+        s.unsettled(),
+        s.p50(),
+        s.p99(),
+        s.maximum(),
+        s.gap(),
+        row.reads() ? String.format(Locale.ROOT, "%.1f%%", 100 * replicaShare(s)) : "");
+  }
+
+  private static double replicaShare(Summary s) {
+    return s.done() == 0 ? 0 : (double) s.fromReplica() / s.done();
+  }
+}
--- /dev/null
+++ b/load/src/main/java/org/pollenspar/load/process/LoadRun.java
@@ -0,0 +1,115 @@
+package org.pollenspar.load.process;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.locks.LockSupport;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import org.pollenspar.load.connection.CallerSession;
+import org.pollenspar.load.request.KindPlan;
+
+/**
+ * A whole run: set up, arrivals phase by phase, settling, comparison.
+ *
+ * <p>Arrivals follow the clock and never wait for answers, and times count from the planned
+ * arrival. A generator that waits would offer less exactly when the proxies are slow, and hide it.
+ */
+public final class LoadRun {
+  private static final double NANOS_PER_SECOND = 1e9;
+  private static final long SETTLE_POLL_MILLIS = 20;
+  private static final String ALGORITHM = "L64X128MixRandom";
+
+  private final LoadPlan plan;
+  private final Settings settings;
+  private final ProxyClient client;
+  private final BrokenPromises broken = new BrokenPromises();
+  private final Redemptions redemptions = new Redemptions();
+
+  /** Creates a run. */
+  LoadRun(LoadPlan plan, Settings settings, ProxyClient client) {
+    this.plan = plan;
+    this.settings = settings;
+    this.client = client;
+  }
+
+  /**
+   * Runs the plan.
+   *
+   * @throws IOException if the tables cannot be set up or the accounts cannot be read at the end
+   */
+  LoadReport run() throws IOException, InterruptedException {
+    List<CallerSession> sessions = new Setup(plan, settings.runId(), client).run();
+    RandomGenerator random = RandomGeneratorFactory.of(ALGORITHM).create(settings.seed());
+    StatisticsBoard board = new StatisticsBoard(plan, System.nanoTime());
+    ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+    try {
+      Callers callers =
+          new Callers(plan, settings, client, sessions, board, redemptions, broken, timer, random);
+      board.recordPhase(StatisticsBoard.WHOLE_RUN, s -> s.phaseStarted(System.nanoTime()));
+      for (LoadPlan.Phase phase : plan.phases()) {
+        runPhase(phase, callers, board, random);
+      }
+      board.recordPhase(StatisticsBoard.WHOLE_RUN, s -> s.phaseEnded(System.nanoTime()));
+      awaitSettled(callers);
+    } finally {
+      timer.shutdownNow();
+    }
+    new Verification(plan, settings.runId(), client, redemptions, broken).run(sessions);
+    return new LoadReport(plan, board, broken);
+  }
+
+  private void runPhase(
+      LoadPlan.Phase phase, Callers callers, StatisticsBoard board, RandomGenerator random) {
+    long start = System.nanoTime();
+    long end = start + (long) (phase.seconds() * NANOS_PER_SECOND);
+    board.recordPhase(phase.name(), s -> s.phaseStarted(start));
+    List<KindPlan> kinds = plan.kinds();
+    long[] next = new long[kinds.size()];
+    for (int i = 0; i < next.length; i++) {
+      next[i] = start + pauseNanos(phase.rate(kinds.get(i)), random);
+    }
+    for (int due = earliest(next); next[due] < end; due = earliest(next)) {
+      waitUntil(next[due]);
+      callers.arrive(phase.name(), kinds.get(due), next[due]);
+      next[due] += pauseNanos(phase.rate(kinds.get(due)), random);
+    }
+    waitUntil(end);
+    board.recordPhase(phase.name(), s -> s.phaseEnded(System.nanoTime()));
+  }
+
+  private void awaitSettled(Callers callers) throws InterruptedException {
+    long end = System.nanoTime() + settings.settleTime().toNanos();
+    while (callers.inFlight() > 0 && System.nanoTime() < end) {
+      Thread.sleep(SETTLE_POLL_MILLIS);
+    }
+    callers.giveUp();
+    while (callers.inFlight() > 0) {
+      Thread.sleep(SETTLE_POLL_MILLIS);
+    }
+  }
+
+  /** Pauses between arrivals of many independent callers are exponentially distributed. */
+  private static long pauseNanos(double ratePerSecond, RandomGenerator random) {
+    return ratePerSecond <= 0
+        ? Long.MAX_VALUE / 4
+        : (long) (random.nextExponential() / ratePerSecond * NANOS_PER_SECOND);
+  }
+
+  private static int earliest(long[] times) {
+    int earliest = 0;
+    for (int i = 1; i < times.length; i++) {
+      if (times[i] < times[earliest]) {
+        earliest = i;
+      }
+    }
+    return earliest;
+  }
+
+  private static void waitUntil(long nanos) {
+    for (long left = nanos - System.nanoTime(); left > 0; left = nanos - System.nanoTime()) {
+      LockSupport.parkNanos(left);
+    }
+  }
+}
--- /dev/null
+++ b/load/src/main/java/org/pollenspar/load/process/Persistence.java
@@ -0,0 +1,33 @@
+package org.pollenspar.load.process;
+
+import java.io.IOException;
+import java.util.List;
+import org.pollenspar.load.connection.CallerSession;
+import org.pollenspar.load.request.Answer;
+import org.pollenspar.load.request.WorkCall;
+
+/** Sends a request again and again until it is done; for the steps before and after the load. */
+final class Persistence {
+  private static final int ATTEMPTS = 240;
+  private static final long PAUSE_MILLIS = 250;
+
+  private final ProxyClient client;
+
+  Persistence(ProxyClient client) {
+    this.client = client;
+  }
+
+  Answer untilDone(WorkCall call, CallerSession session) throws IOException, InterruptedException {
+    Answer answer = Answer.of(Answer.Outcome.UNKNOWN, "NOT_SENT");
+    for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
+      List<String> sent = session.tokens();
+      answer = client.send(call, sent, attempt > 0).join();
+      if (answer.outcome() == Answer.Outcome.DONE) {
+        session.accept(sent, answer.token());
+        return answer;
+      }
+      Thread.sleep(PAUSE_MILLIS);
+    }
+    throw new IOException("request of kind " + call.kind() + " fails: " + answer.error());
+  }
+}
--- /dev/null
+++ b/load/src/main/java/org/pollenspar/load/process/ProxyClient.java
@@ -0,0 +1,118 @@
+package org.pollenspar.load.process;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
+import org.pollenspar.load.request.Answer;
+import org.pollenspar.load.request.Answer.Outcome;
+import org.pollenspar.load.request.WorkCall;
+
+/**
+ * Sends requests to the proxies, each to one chosen at random, as a load balancer does. A proxy
+ * that refuses the connection or says that it is draining did nothing, so the request goes to
+ * another one.
+ */
+final class ProxyClient {
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+  private static final long GRACE_MILLIS = 2000;
+  private static final int THREADS = 4;
+  private static final String DRAINING = "DRAINING";
+
+  private final List<URI> proxies;
+  private final ObjectMapper json = new ObjectMapper();
+  private final HttpClient http;
+
+  ProxyClient(List<URI> proxies) {
+    this.proxies = List.copyOf(proxies);
+    this.http =
+        HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(CONNECT_TIMEOUT)
+            .executor(
+                Executors.newFixedThreadPool(
+                    THREADS,
+                    task -> {
+                      Thread thread = new Thread(task, "load-http");
+                      thread.setDaemon(true);
+                      return thread;
+                    }))
+            .build();
+  }
+
+  /** Opens a session and returns its token. */
+  String openSession() throws IOException, InterruptedException {
+    int first = ThreadLocalRandom.current().nextInt(proxies.size());
+    IOException last = new IOException("no proxy");
+    for (int i = 0; i < proxies.size(); i++) {
+      URI proxy = proxies.get((first + i) % proxies.size());
+      try {
+        HttpResponse<String> response =
+            http.send(
+                request(proxy, "/v1/sessions", "{}", GRACE_MILLIS),
+                HttpResponse.BodyHandlers.ofString());
+        if (response.statusCode() == 201) {
+          return json.readTree(response.body()).path("session").asText();
+        }
+        last = new IOException("status " + response.statusCode() + ": " + response.body());
+      } catch (JsonProcessingException e) {
+        throw e;
+      } catch (IOException e) {
+        last = e;
+      }
+    }
+    throw last;
+  }
+
+  /** Sends a request; the stage never fails. */
+  CompletableFuture<Answer> send(WorkCall call, Collection<String> tokens, boolean retry) {
+    int first = ThreadLocalRandom.current().nextInt(proxies.size());
+    return send(call, call.body(tokens, retry), first, proxies.size() - 1);
+  }
+
+  private CompletableFuture<Answer> send(WorkCall call, String body, int proxy, int othersLeft) {
+    URI uri = proxies.get(proxy % proxies.size());
+    HttpRequest request = request(uri, "/v1/work", body, call.deadlineMillis() + GRACE_MILLIS);
+    return http.sendAsync(request, HttpResponse.BodyHandlers.ofString())
+        .handle(
+            (response, failure) ->
+                failure == null
+                    ? Answer.read(response.statusCode(), response.body())
+                    : failed(failure))
+        .thenCompose(
+            answer -> {
+              boolean elsewhere =
+                  answer.outcome() == Outcome.NOT_RUN && answer.error().equals(DRAINING);
+              return elsewhere && othersLeft > 0
+                  ? send(call, body, proxy + 1, othersLeft - 1)
+                  : CompletableFuture.completedFuture(answer);
+            });
+  }
+
+  private static Answer failed(Throwable failure) {
+    Throwable cause = failure instanceof CompletionException e ? e.getCause() : failure;
+    // Without a connection nothing was sent, as with a proxy that is draining.
+    return cause instanceof ConnectException
+        ? Answer.of(Outcome.NOT_RUN, DRAINING)
+        : Answer.of(Outcome.UNKNOWN, "NO_ANSWER");
+  }
+
+  private static HttpRequest request(URI proxy, String path, String body, long timeoutMillis) {
+    return HttpRequest.newBuilder(proxy.resolve(path))
+        .header("Content-Type", "application/json")
+        .timeout(Duration.ofMillis(timeoutMillis))
+        .POST(HttpRequest.BodyPublishers.ofString(body))
+        .build();
+  }
+}
--- /dev/null
+++ b/load/src/main/java/org/pollenspar/load/process/Setup.java
@@ -0,0 +1,102 @@
+package org.pollenspar.load.process;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.pollenspar.load.connection.CallerSession;
+import org.pollenspar.load.request.StatementTemplate;
+import org.pollenspar.load.request.WorkCall;
+
+/** Creates the tables, accounts and counters of a run through the proxies. */
+final class Setup {
+  private static final int DEADLINE_MILLIS = 1000;
+  private static final int ROWS_PER_INSERT = 100;
+
+  private final LoadPlan plan;
+  private final String runId;
+  private final ProxyClient client;
+  private final Persistence persistence;
+  private int requests;
+
+  Setup(LoadPlan plan, String runId, ProxyClient client) {
+    this.plan = plan;
+    this.runId = runId;
+    this.client = client;
+    this.persistence = new Persistence(client);
+  }
+
+  /** Returns the sessions of the run, which see everything that was set up. */
+  List<CallerSession> run() throws IOException, InterruptedException {
+    CallerSession own = new CallerSession("", "", List.of(client.openSession()));
+    for (int i = 0; i < plan.groups().size(); i++) {
+      createTables(plan.groups().get(i), own);
+      insert(plan.groups().get(i), "account", accountRows(i), own);
+      insert(plan.groups().get(i), "counter", counterRows(i), own);
+    }
+    List<CallerSession> sessions = new ArrayList<>();
+    for (int i = 0; i < plan.sessions(); i++) {
+      List<String> tokens = new ArrayList<>(List.of(client.openSession()));
+      tokens.addAll(own.tokens());
+      sessions.add(new CallerSession(sessionId(i), groupOf(i), tokens));
+    }
+    return sessions;
+  }
+
+  /** Returns the id of an account. */
+  static String accountId(String runId, int group, int account) {
+    return runId + "-g" + group + "-a" + account;
+  }
+
+  private String sessionId(int session) {
+    return runId + "-s" + session;
+  }
+
+  private String groupOf(int session) {
+    return plan.groups().get(session % plan.groups().size());
+  }
+
+  private void createTables(String group, CallerSession own)
+      throws IOException, InterruptedException {
+    for (String sql :
+        List.of(
+            "CREATE TABLE IF NOT EXISTS account (id text PRIMARY KEY, balance int8)",
+            "CREATE TABLE IF NOT EXISTS counter (id text PRIMARY KEY, value int8)",
+            "CREATE TABLE IF NOT EXISTS redemption (id text PRIMARY KEY, account text)")) {
+      run(group, sql, own);
+    }
+  }
+
+  private void insert(String group, String table, List<String> rows, CallerSession own)
+      throws IOException, InterruptedException {
+    for (int i = 0; i < rows.size(); i += ROWS_PER_INSERT) {
+      List<String> some = rows.subList(i, Math.min(rows.size(), i + ROWS_PER_INSERT));
+      run(group, "INSERT INTO " + table + " VALUES " + String.join(", ", some), own);
+    }
+  }
+
+  private List<String> accountRows(int group) {
+    List<String> rows = new ArrayList<>();
+    for (int i = 0; i < plan.accounts(); i++) {
+      rows.add("('" + accountId(runId, group, i) + "', " + plan.openingBalance() + ")");
+    }
+    return rows;
+  }
+
+  private List<String> counterRows(int group) {
+    List<String> rows = new ArrayList<>();
+    for (int i = group; i < plan.sessions(); i += plan.groups().size()) {
+      rows.add("('" + sessionId(i) + "', 0)");
+    }
+    return rows;
+  }
+
+  private void run(String group, String sql, CallerSession own)
+      throws IOException, InterruptedException {
+    requests++;
+    String key = runId + "-setup-" + requests;
+    List<StatementTemplate> statements =
+        List.of(new StatementTemplate(sql, StatementTemplate.ANY_ROWS));
+    persistence.untilDone(
+        new WorkCall(plan.setupKind(), group, key, "", DEADLINE_MILLIS, statements), own);
+  }
+}
--- /dev/null
+++ b/load/src/main/java/org/pollenspar/load/process/StatisticsBoard.java
@@ -0,0 +1,83 @@
+package org.pollenspar.load.process;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Consumer;
+import org.pollenspar.load.request.Check;
+import org.pollenspar.load.request.KindPlan;
+
+/** The statistics of a run: per phase and for the whole run, per kind and per rank. */
+final class StatisticsBoard {
+  static final String WHOLE_RUN = "all";
+  static final String ALL_KINDS = "*";
+
+  /** Names a row of the report; {@code reads} tells whether its replica share has a meaning. */
+  record Row(String phase, int rank, String kind, boolean reads) {}
+
+  private final Map<Row, KindStatistics> rows = new LinkedHashMap<>();
+  private final Map<String, LongAdder> errors = new ConcurrentHashMap<>();
+
+  StatisticsBoard(LoadPlan plan, long nowNanos) {
+    for (LoadPlan.Phase phase : plan.phases()) {
+      addRows(phase.name(), plan.kinds(), nowNanos);
+    }
+    addRows(WHOLE_RUN, plan.kinds(), nowNanos);
+  }
+
+  private void addRows(String phase, List<KindPlan> kinds, long nowNanos) {
+    for (KindPlan kind : kinds) {
+      for (Row row : rowsOf(phase, kind)) {
+        rows.putIfAbsent(row, new KindStatistics(nowNanos));
+      }
+    }
+  }
+
+  private static List<Row> rowsOf(String phase, KindPlan kind) {
+    boolean reads = !kind.check().writes() && kind.check() != Check.NONE;
+    return List.of(
+        new Row(phase, kind.rank(), kind.name(), reads),
+        new Row(phase, kind.rank(), ALL_KINDS, false));
+  }
+
+  /** Applies an event to all rows that it belongs to. */
+  void record(String phase, KindPlan kind, Consumer<KindStatistics> event) {
+    List<Row> affected = new ArrayList<>(rowsOf(phase, kind));
+    affected.addAll(rowsOf(WHOLE_RUN, kind));
+    for (Row row : affected) {
+      KindStatistics statistics = rows.get(row);
+      if (statistics != null) {
+        event.accept(statistics);
+      }
+    }
+  }
+
+  /** Applies an event to all rows of a phase. */
+  void recordPhase(String phase, Consumer<KindStatistics> event) {
+    rows.forEach(
+        (row, statistics) -> {
+          if (row.phase().equals(phase)) {
+            event.accept(statistics);
+          }
+        });
+  }
+
+  /** Counts a reason why a request was not done. */
+  void countError(String name) {
+    errors.computeIfAbsent(name, n -> new LongAdder()).increment();
+  }
+
+  Map<Row, KindStatistics> rows() {
+    return rows;
+  }
+
+  Map<String, Long> errors() {
+    Map<String, Long> counts = new TreeMap<>();
+    errors.forEach((name, count) -> counts.put(name, count.sum()));
+    return counts;
+  }
+}
--- /dev/null
+++ b/load/src/main/java/org/pollenspar/load/request/package-info.java
@@ -0,0 +1,5 @@
+/** One request of a caller and its answer. */
+@NullMarked
+package org.pollenspar.load.request;
+
+import org.jspecify.annotations.NullMarked;
