proxy: test a home against three database stand-ins

Cause: the flow of reads and writes had not run on real sockets. Change: 17 tests on a home over three stand-ins: keys, row counts, lost answers to a commit, connections killed within transactions, a cut-off primary, lagging replicas, leaving hosts, garbage and half answers. Events for a control thread that has ended are dropped instead of ending a database thread with an exception. Ruled out: promoting any fenced database in a test; an acknowledged write was lost in such a run, since the platform promotes only the most advanced one.

--- a/proxy/src/main/java/org/pollenspar/proxy/connection/PooledConnection.java
+++ b/proxy/src/main/java/org/pollenspar/proxy/connection/PooledConnection.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Executor;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
@@ -113,7 +114,16 @@
       }
     }
     T reported = result;
-    control.execute(() -> onResult.accept(reported));
+    report(() -> onResult.accept(reported));
+  }
+
+  /** Hands an event to the control thread; once that has ended, nobody is left to tell. */
+  private void report(Runnable event) {
+    try {
+      control.execute(event);
+    } catch (RejectedExecutionException e) {
+      close();
+    }
   }
 
   /** Closes the connection; may be called at any time, also while a step runs. */
@@ -131,17 +141,17 @@
     try {
       opened = DatabaseConnection.open(address, login);
     } catch (SQLException e) {
-      control.execute(() -> listener.openFailed(this, e));
+      report(() -> listener.openFailed(this, e));
       return;
     } catch (RuntimeException | Error e) {
       SQLException wrapped = new SQLException(e.toString(), e);
-      control.execute(() -> listener.openFailed(this, wrapped));
+      report(() -> listener.openFailed(this, wrapped));
       return;
     }
     try (opened) {
       connection = opened;
       clean = true;
-      control.execute(() -> listener.opened(this));
+      report(() -> listener.opened(this));
       serve();
     }
   }
--- a/proxy/src/main/java/org/pollenspar/proxy/connection/Prober.java
+++ b/proxy/src/main/java/org/pollenspar/proxy/connection/Prober.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
 import org.jspecify.annotations.Nullable;
@@ -105,9 +106,14 @@
     }
   }
 
+  /** Hands an event to the control thread; once that has ended, nobody is left to tell. */
   private void report(Runnable event) {
-    if (!closed) {
-      control.execute(event);
+    try {
+      if (!closed) {
+        control.execute(event);
+      }
+    } catch (RejectedExecutionException e) {
+      closed = true;
     }
   }
 
--- /dev/null
+++ b/proxy/src/test/java/org/pollenspar/proxy/connection/GroupHomeTest.java
@@ -0,0 +1,239 @@
+package org.pollenspar.proxy.connection;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.pollenspar.proxy.connection.HomeFixture.done;
+import static org.pollenspar.proxy.connection.HomeFixture.outcome;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.pollenspar.core.connection.DatabaseRole;
+import org.pollenspar.core.connection.Position;
+import org.pollenspar.core.process.ErrorKind;
+import org.pollenspar.core.process.Invariant;
+import org.pollenspar.core.request.Outcome;
+import org.pollenspar.standin.process.DatabaseStandin;
+
+/** Runs a home against three database stand-ins over real sockets. */
+class GroupHomeTest {
+  private static final String TAKE =
+      "UPDATE stock SET amount = amount - 1 WHERE item = 'book' AND amount >= 1";
+
+  private HomeFixture fixture = new HomeFixture();
+
+  @AfterEach
+  void check() {
+    fixture.close();
+    assertEquals(List.of(), List.copyOf(fixture.failures));
+  }
+
+  /** Guards against lost, repeated and unconfirmed writes. */
+  @Nested
+  class Writes {
+    @Test
+    void aReadOfTheSessionSeesTheWrite() {
+      Position position = done(fixture.write("k", TAKE)).position().orElseThrow();
+      assertEquals("99", fixture.amount(position));
+      assertEquals(0, fixture.violations());
+    }
+
+    @Test
+    void theSameKeyRunsOnce() {
+      Outcome.Done first = done(fixture.write("k", TAKE));
+      Outcome.Done again = done(fixture.write("k", TAKE));
+      assertEquals(first.results(), again.results());
+      assertEquals("99", fixture.amount(again.position().orElseThrow()));
+    }
+
+    @Test
+    void theSameKeyAtTheSameTimeRunsOnce() {
+      List<CompletableFuture<Optional<Outcome>>> answers = new ArrayList<>();
+      for (int i = 0; i < 6; i++) {
+        answers.add(fixture.retry("k", TAKE));
+      }
+      answers.forEach(HomeFixture::outcome);
+      Outcome.Done settled = done(fixture.retry("k", TAKE));
+      assertEquals("99", fixture.amount(settled.position().orElseThrow()));
+    }
+
+    @Test
+    void aKeyOfAnotherRequestIsRefused() {
+      done(fixture.write("k", TAKE));
+      Outcome.NotRun other =
+          assertInstanceOf(Outcome.NotRun.class, outcome(fixture.write("k", "DELETE FROM stock")));
+      assertEquals(ErrorKind.KEY_REUSED, other.error().kind());
+      assertEquals("99", fixture.amount(Position.ZERO));
+    }
+
+    @Test
+    void anUnexpectedRowCountRollsBackTheWholeTransaction() {
+      Outcome.NotRun notRun =
+          assertInstanceOf(
+              Outcome.NotRun.class,
+              outcome(
+                  fixture.write("k", TAKE, "UPDATE stock SET amount = 0 WHERE item = 'missing'")));
+      assertEquals(ErrorKind.ROW_COUNT_MISMATCH, notRun.error().kind());
+      assertEquals("100", fixture.amount(Position.ZERO));
+    }
+
+    @Test
+    void aRetryThatFailsItsRowCountStopsTheFirstAttemptForGood() {
+      String missing = "UPDATE stock SET amount = 0 WHERE item = 'missing'";
+      assertInstanceOf(Outcome.NotRun.class, outcome(fixture.retry("k", missing)));
+      done(fixture.write("fill-2", "INSERT INTO stock (item, amount) VALUES ('missing', 5)"));
+      assertInstanceOf(Outcome.NotRun.class, outcome(fixture.write("k", missing)));
+    }
+
+    @Test
+    void aStatementThatTheDatabaseRefusesIsNotRun() {
+      Outcome.NotRun notRun =
+          assertInstanceOf(
+              Outcome.NotRun.class,
+              outcome(fixture.write("k", TAKE, "INSERT INTO nowhere (a) VALUES (1)")));
+      assertEquals(ErrorKind.STATEMENT_REFUSED, notRun.error().kind());
+      assertEquals("100", fixture.amount(Position.ZERO));
+    }
+
+    @Test
+    void aLostAnswerToACommitIsSettledByTheKey() {
+      fixture.database(0).faults().lostCommitAnswers.set(1);
+      Outcome.Done settled = done(fixture.write("k", TAKE));
+      assertEquals("99", fixture.amount(settled.position().orElseThrow()));
+    }
+
+    @Test
+    void connectionsKilledWithinTransactionsLoseNothing() throws Exception {
+      List<CompletableFuture<Optional<Outcome>>> answers = new ArrayList<>();
+      for (int i = 0; i < 40; i++) {
+        answers.add(fixture.write("k" + i, TAKE));
+        if (i % 10 == 5) {
+          fixture.dropConnections(0);
+        }
+        Thread.sleep(1);
+      }
+      long done = 0;
+      for (int i = 0; i < answers.size(); i++) {
+        Outcome outcome = outcome(answers.get(i));
+        if (outcome instanceof Outcome.Unknown) {
+          outcome = outcome(fixture.retry("k" + i, TAKE));
+        }
+        done += outcome instanceof Outcome.Done ? 1 : 0;
+      }
+      assertEquals(Long.toString(100 - done), fixture.amount(Position.ZERO));
+      assertEquals(0, fixture.violations());
+    }
+  }
+
+  /** Guards against acknowledgements by a replaced primary (P2). */
+  @Nested
+  class Failover {
+    @Test
+    void aWriteAtACutOffPrimaryIsSettledAtTheNewOne() throws InterruptedException {
+      fixture.database(0).faults().cutOff = true;
+      CompletableFuture<Optional<Outcome>> answer = fixture.write("k", TAKE);
+      HomeFixture.await(() -> fixture.database(0).state().logOffset() > offset(1));
+      assertTrue(!answer.isDone(), "acknowledged by a primary that nobody follows");
+      int promoted = fixture.failOver(0, 0, 2);
+      Outcome.Done done = done(answer);
+      assertEquals("d" + promoted, done.servedBy());
+      assertEquals(2, done.position().orElseThrow().term());
+      assertEquals("99", fixture.amount(done.position().orElseThrow()));
+      assertEquals(0, fixture.violations());
+    }
+
+    private long offset(int index) {
+      return fixture.database(index).state().logOffset();
+    }
+
+    @Test
+    void writesContinueAfterTheChange() {
+      done(fixture.write("k1", TAKE));
+      String promoted = "d" + fixture.failOver(-1, 0, 2);
+      Outcome.Done done = done(fixture.write("k2", TAKE));
+      assertEquals(2, done.position().orElseThrow().term());
+      assertEquals(promoted, done.servedBy());
+      assertEquals("98", fixture.amount(done.position().orElseThrow()));
+      assertTrue(
+          fixture.timeline.snapshot().stream()
+              .anyMatch(
+                  e -> e.kind().equals("primary_changed") && e.detail().contains("in term 2")));
+    }
+  }
+
+  /** Guards against stale answers (P1) and against reads that load the primary. */
+  @Nested
+  class Reads {
+    @Test
+    void aStaleReadIsServedByAReplica() {
+      Outcome.Done done = done(fixture.read(60_000, fixture.filled, "SELECT amount FROM stock"));
+      assertEquals(DatabaseRole.REPLICA, done.role());
+    }
+
+    @Test
+    void replicasThatLagDoNotHideTheSessionsWrite() {
+      fixture.database(1).faults().lagMillis = 300;
+      for (int i = 0; i < 10; i++) {
+        Position position = done(fixture.write("k" + i, TAKE)).position().orElseThrow();
+        Outcome.Done read = done(fixture.read(60_000, position, "SELECT amount FROM stock"));
+        assertEquals(Integer.toString(99 - i), read.results().get(0).rows().get(0).get(0));
+      }
+      assertTrue(fixture.invariants.checks(Invariant.READ_YOUR_WRITES) >= 10);
+      assertEquals(0, fixture.violations());
+    }
+  }
+
+  /** Guards against new work on a host that leaves the fleet (P7). */
+  @Nested
+  class Leaving {
+    @Test
+    void aLeavingReplicaGetsNoReads() {
+      fixture.leaving(1);
+      for (int i = 0; i < 30; i++) {
+        Outcome.Done done = done(fixture.read(60_000, fixture.filled, "SELECT amount FROM stock"));
+        assertEquals("d2", done.servedBy());
+      }
+      assertEquals(0, fixture.violations());
+    }
+
+    @Test
+    void aLeavingPrimaryGetsNoWrites() {
+      fixture.leaving(0);
+      CompletableFuture<Optional<Outcome>> answer = fixture.write("k", TAKE);
+      String promoted = "d" + fixture.failOver(-1, 0, 2);
+      assertEquals(promoted, done(answer).servedBy());
+      assertEquals(0, fixture.violations());
+    }
+  }
+
+  /** Guards against hanging on a database that does not speak the protocol. */
+  @Nested
+  class Faults {
+    @Test
+    void garbageAndHalfAnswersReachNoCaller() {
+      for (int i = 0; i < 30; i++) {
+        DatabaseStandin replica = fixture.database(1 + i % 2);
+        replica.faults().garbageAnswers.set(i % 3);
+        replica.faults().cutAnswers.set(i % 2);
+        Outcome outcome = outcome(fixture.read(60_000, fixture.filled, "SELECT amount FROM stock"));
+        if (outcome instanceof Outcome.Done done) {
+          assertEquals("100", done.results().get(0).rows().get(0).get(0));
+        }
+      }
+    }
+
+    @Test
+    void writesSurviveGarbageFromThePrimary() {
+      fixture.database(0).faults().garbageAnswers.set(2);
+      Outcome outcome = outcome(fixture.write("k", TAKE));
+      Outcome.Done settled =
+          outcome instanceof Outcome.Done done ? done : done(fixture.retry("k", TAKE));
+      assertEquals("99", fixture.amount(settled.position().orElseThrow()));
+    }
+  }
+}
