proxy: wire entry, homes, feed and drain into one process

Cause: the parts need one owner that starts, drains and closes them. Change: Proxy wires the parts; status, drain with its check of P8, and the versions kept for requests that another proxy accepted. Ruled out: closing at once after the last outcome; the reply would not have left the process.

--- /dev/null
+++ b/proxy/src/main/java/org/pollenspar/proxy/process/Drainer.java
@@ -0,0 +1,56 @@
+package org.pollenspar.proxy.process;
+
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
+import org.pollenspar.core.process.Invariant;
+import org.pollenspar.core.process.InvariantChecker;
+import org.pollenspar.core.process.Timeline;
+
+/** Waits at shutdown until nothing is running, at most the drain timeout (P8). */
+final class Drainer {
+  private static final long POLL_MILLIS = 10;
+
+  /** Replies that were just handed to the network leave before the connections are closed. */
+  private static final long REPLY_FLUSH_MILLIS = 200;
+
+  private final Duration timeout;
+  private final IntSupplier running;
+  private final InvariantChecker invariants;
+  private final Timeline timeline;
+
+  /**
+   * Creates a drainer.
+   *
+   * @param running number of requests in progress, whoever sent them
+   */
+  Drainer(Duration timeout, IntSupplier running, InvariantChecker invariants, Timeline timeline) {
+    this.timeline = timeline;
+    this.timeout = timeout;
+    this.running = running;
+    this.invariants = invariants;
+  }
+
+  /** Blocks until nothing is running or the timeout has passed. */
+  void await() {
+    timeline.record("drain_started", "proxy", running.getAsInt() + " requests in progress");
+    long start = System.nanoTime();
+    boolean inTime = true;
+    try {
+      while (running.getAsInt() > 0 && inTime) {
+        TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+        inTime = System.nanoTime() - start < timeout.toNanos();
+      }
+      TimeUnit.MILLISECONDS.sleep(REPLY_FLUSH_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    int cut = running.getAsInt();
+    boolean expired = System.nanoTime() - start >= timeout.toNanos();
+    invariants.check(
+        Invariant.DRAIN_CUTS_NOTHING,
+        cut == 0 || expired,
+        () -> cut + " requests cut before the drain timeout");
+    timeline.record("drain_ended", "proxy", cut + " requests cut");
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/pollenspar/proxy/process/Identifiers.java
@@ -0,0 +1,42 @@
+package org.pollenspar.proxy.process;
+
+import java.security.SecureRandom;
+import java.util.HexFormat;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.random.RandomGenerator;
+
+/** Makes names that no other process makes. Safe for use by several threads. */
+final class Identifiers {
+  private static final int NAME_BYTES = 16;
+  private static final int NONCE_PREFIX_BYTES = 6;
+
+  private final SecureRandom random = new SecureRandom();
+  private final String noncePrefix = hex(NONCE_PREFIX_BYTES);
+  private final AtomicLong nonces = new AtomicLong();
+
+  /** Returns a source of randomness that several threads may use. */
+  RandomGenerator random() {
+    return random;
+  }
+
+  /** Returns a nonce; a counter is enough, since it only tells answers of this process apart. */
+  String nonce() {
+    return noncePrefix + "-" + Long.toHexString(nonces.incrementAndGet());
+  }
+
+  /** Returns a session id. */
+  String session() {
+    return hex(NAME_BYTES);
+  }
+
+  /** Returns the idempotency key of a write that was sent without one. */
+  String key() {
+    return "proxy-" + hex(NAME_BYTES);
+  }
+
+  private String hex(int bytes) {
+    byte[] buffer = new byte[bytes];
+    random.nextBytes(buffer);
+    return HexFormat.of().formatHex(buffer);
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/pollenspar/proxy/process/Proxy.java
@@ -0,0 +1,289 @@
+package org.pollenspar.proxy.process;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.pollenspar.core.connection.TokenCodec;
+import org.pollenspar.core.process.Closer;
+import org.pollenspar.core.process.ErrorKind;
+import org.pollenspar.core.process.HostList;
+import org.pollenspar.core.process.Invariant;
+import org.pollenspar.core.process.InvariantChecker;
+import org.pollenspar.core.process.PollensparError;
+import org.pollenspar.core.process.Timeline;
+import org.pollenspar.core.request.Outcome;
+import org.pollenspar.core.request.WorkRequest;
+import org.pollenspar.core.version.VersionHolder;
+import org.pollenspar.net.connection.PeerHandler;
+import org.pollenspar.net.connection.PeerNetwork;
+import org.pollenspar.net.process.ControlThread;
+import org.pollenspar.net.process.HostDirectory;
+import org.pollenspar.net.process.HttpService;
+import org.pollenspar.net.process.KeyValueService;
+import org.pollenspar.net.version.FleetFeed;
+import org.pollenspar.proxy.connection.ConnectionMeters;
+import org.pollenspar.proxy.connection.HomeContext;
+import org.pollenspar.proxy.connection.HomeMeters;
+import org.pollenspar.proxy.connection.PoolContext;
+import org.pollenspar.proxy.request.AnswerWriter;
+import org.pollenspar.proxy.request.CallerHandler;
+import org.pollenspar.proxy.request.EntryMeters;
+import org.pollenspar.proxy.request.Forwarder;
+import org.pollenspar.proxy.request.LocalHomes;
+import org.pollenspar.proxy.request.PeerRequests;
+import org.pollenspar.proxy.request.WorkParser;
+import org.pollenspar.wire.Envelope;
+
+/** One proxy process: wires its parts, and starts, drains and closes them. */
+public final class Proxy implements AutoCloseable {
+  private static final int MAX_BODY_BYTES = 256 * 1024;
+  private static final Duration READ_TIMEOUT = Duration.ofSeconds(10);
+  private static final Duration TICK = Duration.ofMillis(5);
+  private static final long ISOLATION_MILLIS = 10_000;
+  private static final long CONTROL_TIMEOUT_SECONDS = 5;
+
+  private final ProxyOptions options;
+  private final ControlThread control;
+  private final InvariantChecker invariants;
+  private final Timeline timeline;
+  private final StatusReport statusReport;
+  private final Closer closer = new Closer();
+  private final FleetFeed feed;
+  private final GroupHomes homes;
+  private final KindHistory kinds = new KindHistory();
+  private final CallerHandler callers;
+  private final PeerRequests peerRequests;
+  private final HttpService http;
+  private volatile Fleet fleet = new Fleet(Optional.empty(), HostList.EMPTY);
+  private volatile boolean isolated;
+  private volatile boolean draining;
+
+  /**
+   * Wires a proxy; {@link #start} opens its sockets for callers.
+   *
+   * @param common what all programs have: control thread, time line, invariants, metrics
+   * @param platform the platform's services
+   * @param peerNetworks opens the network for other processes, with the handler of their requests
+   */
+  public Proxy(
+      ProxyOptions options,
+      Common common,
+      Platform platform,
+      Function<PeerHandler, PeerNetwork> peerNetworks) {
+    this.options = options;
+    this.control = common.control();
+    this.invariants = common.invariants();
+    this.timeline = common.timeline();
+    MetricRegistry registry = common.registry();
+    this.statusReport = new StatusReport(options, invariants, registry);
+    Identifiers identifiers = new Identifiers();
+    HomeContext homeContext =
+        new HomeContext(
+            new PoolContext(
+                control,
+                options.login(),
+                threads("database"),
+                invariants,
+                ConnectionMeters.in(registry)),
+            options.policy(),
+            options.domain(),
+            timeline,
+            new HomeMeters(registry),
+            identifiers::nonce,
+            System::currentTimeMillis);
+    this.homes = new GroupHomes(options.hostId(), homeContext, timeline);
+    ExecutorService answers = Executors.newFixedThreadPool(options.threads(), threads("answer"));
+    closer.register(answers::shutdownNow);
+    PeerNetwork peers = closer.register(peerNetworks.apply(this::answerPeer));
+    this.feed =
+        closer.register(
+            new FleetFeed(
+                options.hostId(),
+                options.domain(),
+                platform.keyValues(),
+                platform.directory(),
+                peers,
+                control,
+                identifiers.random(),
+                timeline,
+                new VersionHolder()));
+    this.peerRequests =
+        new PeerRequests(options.domain(), control, homes, kinds, feed::handle, answers);
+    EntryMeters meters = new EntryMeters(registry);
+    TokenCodec codec = new TokenCodec(options.tokenSecret().getBytes(StandardCharsets.UTF_8));
+    Forwarder forwarder =
+        new Forwarder(
+            options.hostId(),
+            options.domain(),
+            peers,
+            new OwnHomes(),
+            control,
+            meters,
+            identifiers.random());
+    this.callers =
+        new CallerHandler(
+            () -> fleet,
+            this::refusal,
+            new WorkParser(codec, identifiers::key),
+            new AnswerWriter(codec),
+            forwarder,
+            control,
+            meters,
+            identifiers::session,
+            answers);
+    this.http =
+        new HttpService(
+            "callers", options.callers(), MAX_BODY_BYTES, READ_TIMEOUT, options.threads(), callers);
+  }
+
+  /**
+   * What every program of pollenspar has.
+   *
+   * @param control owner of all decision state
+   * @param timeline receives changes of state
+   * @param invariants checks of the promises
+   * @param registry metrics
+   */
+  public record Common(
+      ControlThread control,
+      Timeline timeline,
+      InvariantChecker invariants,
+      MetricRegistry registry) {}
+
+  /**
+   * The platform's services that a proxy uses.
+   *
+   * @param keyValues holds the configuration
+   * @param directory holds the host list
+   */
+  public record Platform(KeyValueService keyValues, HostDirectory directory) {}
+
+  /** Begins to follow the fleet and to serve callers. */
+  public void start() {
+    feed.addListener(this::fleetChanged);
+    feed.start();
+    Future<?> ticker = control.scheduleRepeatedly(TICK, this::tick);
+    closer.register(() -> ticker.cancel(false));
+    http.start();
+    closer.register(http);
+  }
+
+  /** Called on the control thread. */
+  private void fleetChanged() {
+    long known = fleet.version().map(version -> version.version()).orElse(0L);
+    long offered = feed.current().map(version -> version.version()).orElse(0L);
+    if (!invariants.check(
+        Invariant.VERSION_MONOTONIC,
+        offered >= known,
+        () -> "version " + offered + " after " + known)) {
+      return;
+    }
+    feed.current().ifPresent(kinds::add);
+    fleet = new Fleet(feed.current(), feed.hosts());
+    homes.update(fleet);
+  }
+
+  private void tick() {
+    isolated = feed.isolated(control.nowNanos());
+    homes.tick();
+  }
+
+  private CompletionStage<Envelope.Builder> answerPeer(Envelope request) {
+    return peerRequests.handle(request);
+  }
+
+  /** Returns why new work is refused; empty if it is taken. */
+  private Optional<PollensparError> refusal() {
+    if (draining) {
+      return Optional.of(PollensparError.of(ErrorKind.DRAINING));
+    }
+    return isolated
+        ? Optional.of(PollensparError.of(ErrorKind.CONFIGURATION_STALE, ISOLATION_MILLIS))
+        : Optional.empty();
+  }
+
+  /** Returns the port for callers. */
+  public int callersPort() {
+    return http.port();
+  }
+
+  /** Returns where the proxy is in its life. */
+  public ProxyState state() {
+    if (draining) {
+      return ProxyState.DRAINING;
+    }
+    return fleet.version().isPresent() ? ProxyState.SERVING : ProxyState.STARTING;
+  }
+
+  /** Returns the status for operators. */
+  public CompletableFuture<ObjectNode> status() {
+    return control
+        .call(homes::reports)
+        .thenApply(reports -> statusReport.write(state(), fleet, reports));
+  }
+
+  /** Takes no more work, finishes what is running within the drain timeout, and closes. */
+  public void drain() {
+    feed.setLeaving(true);
+    draining = true;
+    http.stopAccepting();
+    onControl(
+        () -> {
+          homes.drain();
+          return true;
+        });
+    new Drainer(options.drainTimeout(), this::running, invariants, timeline).await();
+    close();
+  }
+
+  private int running() {
+    return callers.running() + peerRequests.running() + onControl(homes::running);
+  }
+
+  private <T> T onControl(Supplier<T> function) {
+    return control.call(function).orTimeout(CONTROL_TIMEOUT_SECONDS, TimeUnit.SECONDS).join();
+  }
+
+  private static ThreadFactory threads(String name) {
+    return task -> {
+      Thread thread = new Thread(task, name);
+      thread.setDaemon(true);
+      return thread;
+    };
+  }
+
+  /** Closes everything at once. */
+  @Override
+  public void close() {
+    onControl(
+        () -> {
+          homes.close();
+          return true;
+        });
+    closer.close();
+  }
+
+  /** Reaches the homes of this proxy from other threads. */
+  private final class OwnHomes implements LocalHomes {
+    @Override
+    public CompletableFuture<Optional<Outcome>> submit(WorkRequest request) {
+      return control.call(() -> homes.submit(request)).thenCompose(Function.identity());
+    }
+
+    @Override
+    public int queueLength(String group) {
+      return homes.lastQueueLength(group);
+    }
+  }
+}
--- a/proxy/src/main/java/org/pollenspar/proxy/request/CallerHandler.java
+++ b/proxy/src/main/java/org/pollenspar/proxy/request/CallerHandler.java
@@ -12,6 +12,7 @@
 import org.pollenspar.core.connection.SessionToken;
 import org.pollenspar.core.process.ErrorKind;
 import org.pollenspar.core.process.PollensparError;
+import org.pollenspar.core.request.Outcome;
 import org.pollenspar.core.version.FleetVersion;
 import org.pollenspar.net.process.ControlThread;
 import org.pollenspar.net.request.HttpCall;
@@ -87,10 +88,6 @@
   private CompletionStage<HttpReply> work(String body) {
     long arrival = control.nowNanos();
     Fleet current = fleet.get();
-    Optional<PollensparError> refused = refusal.get();
-    if (refused.isPresent()) {
-      return refuse(refused.get(), RETRY_AFTER_MILLIS);
-    }
     Optional<FleetVersion> version = current.version();
     if (version.isEmpty()) {
       return refuse(PollensparError.of(ErrorKind.NOT_CONFIGURED), RETRY_AFTER_MILLIS);
@@ -100,7 +97,22 @@
     return parsed.fold(error -> refuse(error, 0), work -> execute(work, current));
   }
 
+  /** Refuses work that this proxy does not take now; a retried write may be running elsewhere. */
+  private CompletionStage<HttpReply> refuse(ParsedWork work, PollensparError error) {
+    if (!work.request().retry()) {
+      return refuse(error, RETRY_AFTER_MILLIS);
+    }
+    meters.refused(error.kind());
+    String key = work.request().key().orElse("");
+    Outcome unknown = new Outcome.Unknown(PollensparError.of(ErrorKind.OUTCOME_UNKNOWN, key));
+    return CompletableFuture.completedFuture(writer.reply(work, unknown));
+  }
+
   private CompletionStage<HttpReply> execute(ParsedWork work, Fleet current) {
+    Optional<PollensparError> refused = refusal.get();
+    if (refused.isPresent()) {
+      return refuse(work, refused.get());
+    }
     running.incrementAndGet();
     return forwarder
         .execute(work, current)
--- a/proxy/src/main/java/org/pollenspar/proxy/request/PeerRequests.java
+++ b/proxy/src/main/java/org/pollenspar/proxy/request/PeerRequests.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 import org.pollenspar.core.connection.DatabaseState;
@@ -36,6 +37,7 @@
   private final KindHistory kinds;
   private final PeerHandler spreading;
   private final Executor answers;
+  private final AtomicInteger running = new AtomicInteger();
   private final AtomicLong requestIds = new AtomicLong(Long.MIN_VALUE);
 
   /**
@@ -76,10 +78,17 @@
     }
     WorkRequest request =
         PeerMapping.request(message, kind.get(), requestIds.incrementAndGet(), control.nowNanos());
+    running.incrementAndGet();
     return control
         .call(() -> homes.submit(request))
         .thenCompose(Function.identity())
-        .thenApplyAsync(outcome -> response(outcome, message), answers);
+        .thenApplyAsync(outcome -> response(outcome, message), answers)
+        .whenComplete((response, failure) -> running.decrementAndGet());
+  }
+
+  /** Returns the number of other proxies' requests that are not answered yet. */
+  public int running() {
+    return running.get();
   }
 
   private Envelope.Builder response(Optional<Outcome> outcome, WorkRequestMessage message) {
--- a/proxy/src/main/java/org/pollenspar/proxy/request/WorkParser.java
+++ b/proxy/src/main/java/org/pollenspar/proxy/request/WorkParser.java
@@ -97,7 +97,7 @@
             group,
             kind,
             key,
-            retry,
+            retry && kind.access() == Access.WRITE,
             nowNanos,
             nowNanos + TimeUnit.MILLISECONDS.toNanos(deadlineMillis),
             session.sessionId(),
