--- a/cli/src/main/java/org/pollenspar/cli/RequestCommand.java
+++ b/cli/src/main/java/org/pollenspar/cli/RequestCommand.java
@@ -43,10 +43,10 @@
               + " proxy of the platform's host list")
   private @Nullable String url;
 
-  @Parameter(names = "--group", required = true, description = "Database group")
+  @Parameter(names = "--group", description = "Database group")
   private String group = "";
 
-  @Parameter(names = "--kind", required = true, description = "Kind of work")
+  @Parameter(names = "--kind", description = "Kind of work")
   private String kind = "";
 
   @Parameter(names = "--key", description = "Idempotency key of a write")
@@ -73,6 +73,10 @@
 
   @Override
   public ExitCode run(CliContext context) {
+    // Checked here, since JCommander does not enforce required options beside help options.
+    if (group.isEmpty() || kind.isEmpty()) {
+      throw CliContext.invalid("--group and --kind are required");
+    }
     if (statements.isEmpty()) {
       throw CliContext.invalid("A statement is missing");
     }
--- /dev/null
+++ b/cli/src/test/java/org/pollenspar/cli/ApplierProperties.java
@@ -0,0 +1,121 @@
+package org.pollenspar.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vavr.control.Either;
+import java.util.OptionalLong;
+import java.util.Random;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.pollenspar.core.process.ErrorKind;
+import org.pollenspar.core.process.PollensparError;
+import org.pollenspar.core.version.ConfigurationVersion;
+
+/** Guards against an operator who is told the wrong outcome of an apply, and against lost files. */
+class ApplierProperties {
+  private static Either<PollensparError, Applier.Accepted> apply(
+      FlakyStore store, String author, String id) {
+    return new Applier(new ConfigurationStore(store), () -> {}, 6)
+        .apply("text of " + id, author, id, OptionalLong.empty());
+  }
+
+  @Example
+  void loserIsToldWhoseVersionWon() {
+    FlakyStore store = new FlakyStore(1);
+    int[] calls = {0};
+    store.otherOperator =
+        () -> {
+          // Ben applies between Ana's read and her swap.
+          if (++calls[0] == 2) {
+            assertEquals(1, apply(store, "ben", "id-ben").get().version());
+          }
+        };
+    PollensparError error = apply(store, "ana", "id-ana").getLeft();
+    assertEquals(ErrorKind.VERSION_CONFLICT, error.kind());
+    assertTrue(error.message().contains("Version 1 by ben"), error.message());
+    assertEquals(1, store.history.size());
+  }
+
+  @Example
+  void lostAnswerAfterTheChangeIsSettledByReadingBack() {
+    FlakyStore store = new FlakyStore(2);
+    int[] calls = {0};
+    store.otherOperator = () -> store.lostAnswers = ++calls[0] == 2 ? 1 : 0;
+    assertEquals(new Applier.Accepted(1, true), apply(store, "ana", "id-ana").get());
+    assertEquals(1, store.history.size());
+  }
+
+  @Example
+  void lostAnswerIsSettledThoughAnotherApplyFollowed() {
+    FlakyStore store = new FlakyStore(3);
+    int[] calls = {0};
+    store.otherOperator =
+        () -> {
+          int call = ++calls[0];
+          store.lostAnswers = call == 2 ? 1 : 0;
+          if (call == 3) {
+            assertEquals(2, apply(store, "ben", "id-ben").get().version());
+          }
+        };
+    assertEquals(new Applier.Accepted(1, true), apply(store, "ana", "id-ana").get());
+  }
+
+  @Example
+  void sameTextMakesNoNewVersion() {
+    FlakyStore store = new FlakyStore(4);
+    assertTrue(apply(store, "ana", "id").get().changed());
+    assertEquals(new Applier.Accepted(1, false), apply(store, "ben", "id").get());
+  }
+
+  @Example
+  void reviewedVersionMustBeInForce() {
+    FlakyStore store = new FlakyStore(5);
+    assertTrue(apply(store, "ana", "id-1").isRight());
+    PollensparError error =
+        new Applier(new ConfigurationStore(store), () -> {}, 3)
+            .apply("other", "ben", "id-2", OptionalLong.of(0))
+            .getLeft();
+    assertEquals(ErrorKind.VERSION_CONFLICT, error.kind());
+  }
+
+  @Property(seed = "61", tries = 2_000)
+  void outcomeIsTrueUnderAnyFault(@ForAll long seed) {
+    Random random = new Random(seed);
+    FlakyStore store = new FlakyStore(seed);
+    store.lostRequests = random.nextDouble() * 0.5;
+    store.lostAnswers = random.nextDouble() * 0.5;
+    store.lateChanges = random.nextDouble() * 0.3;
+    int[] applies = {0};
+    store.otherOperator =
+        () -> {
+          if (applies[0] < 40 && random.nextInt(4) == 0) {
+            checkedApply(store, "id-" + ++applies[0]);
+          }
+        };
+    for (int i = 0; i < 5; i++) {
+      checkedApply(store, "id-" + ++applies[0]);
+    }
+    for (int i = 0; i < store.history.size(); i++) {
+      assertEquals(i + 1, store.history.get(i).version(), "versions grow one by one");
+    }
+  }
+
+  private static void checkedApply(FlakyStore store, String id) {
+    Either<PollensparError, Applier.Accepted> result = apply(store, "a", id);
+    for (int i = 0; i < 40; i++) {
+      store.deliverLate();
+    }
+    long made = store.history.stream().filter(v -> v.applyId().equals(id)).count();
+    if (result.isRight()) {
+      assertEquals(1, made, id + " was accepted");
+      ConfigurationVersion version = store.history.get((int) result.get().version() - 1);
+      assertEquals(id, version.applyId());
+    } else if (result.getLeft().kind() == ErrorKind.APPLY_UNCONFIRMED) {
+      assertTrue(made <= 1, id + " is unknown");
+    } else {
+      assertEquals(0, made, id + " was refused: " + result.getLeft());
+    }
+  }
+}
