Read the proxies' status as they write it

Cause: the proxy reports groups and invariants as objects and queues by rank and direction. Change: status sums the queues of a group's homes by rank and names parked requests; violations are read per promise.

--- a/cli/src/main/java/org/pollenspar/cli/FleetStatus.java
+++ b/cli/src/main/java/org/pollenspar/cli/FleetStatus.java
@@ -35,32 +35,67 @@
       return value.isValueNode() && !value.isNull() ? value.asText() : NONE;
     }
 
-    Iterable<JsonNode> groups() {
-      return report.map(node -> node.path("groups")).getOrElse(Json.MAPPER::createArrayNode);
+    /** Returns the groups of which the process is a home, by name. */
+    Map<String, JsonNode> groups() {
+      Map<String, JsonNode> groups = new TreeMap<>();
+      for (Map.Entry<String, JsonNode> entry : object("groups").properties()) {
+        groups.put(entry.getKey(), entry.getValue());
+      }
+      return groups;
+    }
+
+    private JsonNode object(String field) {
+      return report.map(node -> node.path(field)).getOrElse(Json.MAPPER::createObjectNode);
     }
 
     /** Returns the invariants with violations, for example {@code P2:1}. */
     String violations() {
       List<String> violated = new ArrayList<>();
-      report
-          .map(node -> node.path("invariants"))
-          .getOrElse(Json.MAPPER::createObjectNode)
-          .properties()
-          .forEach(
-              entry -> {
-                if (entry.getValue().asLong() > 0) {
-                  violated.add(entry.getKey() + ":" + entry.getValue().asLong());
-                }
-              });
+      for (Map.Entry<String, JsonNode> entry : object("invariants").properties()) {
+        long count = entry.getValue().path("violations").asLong();
+        if (count > 0) {
+          violated.add(entry.getKey() + ":" + count);
+        }
+      }
       return String.join(" ", violated);
     }
 
     long queued() {
-      long sum = 0;
-      for (JsonNode group : groups()) {
-        sum += group.path("queued").asLong();
+      return groups().values().stream().mapToLong(group -> Queued.of(group).total()).sum();
+    }
+  }
+
+  /**
+   * Requests that wait at one or more homes of a group.
+   *
+   * @param byRank requests that wait for a database
+   * @param parked requests that no database can serve yet
+   */
+  private record Queued(Map<String, Long> byRank, long parked) {
+    static Queued of(JsonNode group) {
+      Map<String, Long> byRank = new TreeMap<>();
+      for (String queue : List.of("primary_queue", "replica_queue")) {
+        for (Map.Entry<String, JsonNode> rank : group.path(queue).properties()) {
+          byRank.merge(rank.getKey(), rank.getValue().asLong(), Long::sum);
+        }
       }
-      return sum;
+      return new Queued(byRank, group.path("parked").asLong());
+    }
+
+    Queued plus(Queued other) {
+      Map<String, Long> sum = new TreeMap<>(byRank);
+      other.byRank.forEach((rank, count) -> sum.merge(rank, count, Long::sum));
+      return new Queued(sum, parked + other.parked);
+    }
+
+    long total() {
+      return parked + byRank.values().stream().mapToLong(Long::longValue).sum();
+    }
+
+    String text() {
+      StringBuilder text = new StringBuilder();
+      byRank.forEach((rank, count) -> text.append(rank).append(':').append(count).append(' '));
+      return text.append("parked:").append(parked).toString();
     }
   }
 
@@ -128,12 +163,11 @@
   private String groupTable() {
     Map<String, GroupRow> rows = new TreeMap<>();
     for (ProcessStatus process : processes) {
-      for (JsonNode group : process.groups()) {
-        if (group.path("home").asBoolean(false)) {
-          String name = group.path("group").asText(NONE);
-          rows.merge(name, GroupRow.of(process.target().id(), group), GroupRow::plus);
-        }
-      }
+      process
+          .groups()
+          .forEach(
+              (name, group) ->
+                  rows.merge(name, GroupRow.of(process.target().id(), group), GroupRow::plus));
     }
     TextTable table = new TextTable("GROUP", "PRIMARY", "TERM", "QUEUED", "HOMES");
     rows.forEach(
@@ -142,7 +176,7 @@
                 name,
                 row.primary().orElse(NONE),
                 String.valueOf(row.term()),
-                String.valueOf(row.queued()),
+                row.queued().text(),
                 row.homes()));
     return table.text();
   }
@@ -152,20 +186,19 @@
   }
 
   /** What the homes of a group report; the report with the highest term names the primary. */
-  private record GroupRow(Optional<String> primary, long term, long queued, String homes) {
+  private record GroupRow(Optional<String> primary, long term, Queued queued, String homes) {
     static GroupRow of(String home, JsonNode group) {
       Optional<String> primary =
           Optional.of(group.path("primary")).filter(JsonNode::isTextual).map(JsonNode::asText);
-      return new GroupRow(
-          primary, group.path("term").asLong(), group.path("queued").asLong(), home);
+      return new GroupRow(primary, group.path("term").asLong(), Queued.of(group), home);
     }
 
     GroupRow plus(GroupRow other) {
-      boolean newer = other.term > term || other.term == term && primary.isEmpty();
+      boolean newer = other.term > term || (other.term == term && primary.isEmpty());
       return new GroupRow(
           newer ? other.primary : primary,
           Math.max(term, other.term),
-          queued + other.queued,
+          queued.plus(other.queued),
           homes + " " + other.homes);
     }
   }
