core: state what the tracker needs of log terms; strict superseded event

Cause: the proof of majority acknowledgement needs that a database takes a new log term only once it holds the log up to the start of that term. A database far behind that takes it on joining could win the next promotion by its term alone and lose acknowledged writes. WriteProgress answered a superseded event of an old term with "try again" while an attempt was running, which would have started a second attempt.

Change: class comment of GroupTracker; a superseded event that does not exceed the attempt's term is an IllegalStateException; a failed database counts as usable again only after a probe that was sent later; refusals at the deadline carry a retry time.

--- a/core/src/main/java/org/pollenspar/core/connection/ConcurrencyLimit.java
+++ b/core/src/main/java/org/pollenspar/core/connection/ConcurrencyLimit.java
@@ -26,7 +26,7 @@
   private double windowMinimumNanos = Double.MAX_VALUE;
   private long windowEndNanos;
   private long decreasedNanos;
-  private boolean started;
+  private boolean decreasedBefore;
 
   /** Creates a limit that starts at half the share. */
   public ConcurrencyLimit(int share) {
@@ -78,10 +78,10 @@
   }
 
   private void decrease(long nowNanos) {
-    if (started && nowNanos - decreasedNanos < minimumNanos * SLOW_FACTOR) {
+    if (decreasedBefore && nowNanos - decreasedNanos < minimumNanos * SLOW_FACTOR) {
       return;
     }
-    started = true;
+    decreasedBefore = true;
     decreasedNanos = nowNanos;
     limit = Math.max(MINIMUM, limit * DECREASE_FACTOR);
   }
--- a/core/src/main/java/org/pollenspar/core/connection/GroupTracker.java
+++ b/core/src/main/java/org/pollenspar/core/connection/GroupTracker.java
@@ -1,13 +1,11 @@
 package org.pollenspar.core.connection;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import org.jspecify.annotations.Nullable;
 import org.pollenspar.core.version.GroupSpec;
 
 /**
@@ -22,6 +20,11 @@
  * survives, and stale evidence is as good as fresh evidence. Offsets alone prove nothing: an old
  * primary that was cut off can hold a longer log that is thrown away when it joins the new term.
  *
+ * <p>The induction needs one thing of the databases: a database that joins term u takes u as its
+ * log term only once it holds the log up to the start of u. Otherwise a database far behind could
+ * join u, win the next promotion by its log term alone, and bring a log without acknowledged writes
+ * of earlier terms.
+ *
  * <p><b>Age.</b> A sample is a position (t, p) of a leading primary and the time s at which its
  * probe was sent. It is confirmed once a majority answered probes sent at s or later with log term
  * t and a fence not above t. Claim: a log that includes (t, p) holds every write acknowledged
@@ -48,7 +51,7 @@
 
   private final GroupSpec group;
   private final Map<String, Answer> answers = new HashMap<>();
-  private final Set<String> failing = new HashSet<>();
+  private final Map<String, Long> failing = new HashMap<>();
   private final ConfirmedSamples samples = new ConfirmedSamples();
   private Set<String> leaving = Set.of();
   private long currentTerm;
@@ -75,7 +78,10 @@
     if (!group.databases().contains(id)) {
       return;
     }
-    failing.remove(id);
+    Long failedNanos = failing.get(id);
+    if (failedNanos != null && sentNanos - failedNanos >= 0) {
+      failing.remove(id);
+    }
     answers.merge(id, new Answer(state, sentNanos, receivedNanos), GroupTracker::later);
     currentTerm = Math.max(currentTerm, Math.max(state.logTerm(), state.fencedTerm()));
     if (state.leads()) {
@@ -87,7 +93,8 @@
   /**
    * Joins two answers of one database. A probe sent after the other answer arrived is later. If the
    * probes overlapped, the later state is the one further on, since terms, fences and the offset
-   * within a term only grow.
+   * within a term only grow. (A log is cut back only after its fence has risen above its term, so
+   * the position kept here can be too far then, but no majority counts it.)
    */
   private static Answer later(Answer known, Answer fresh) {
     if (fresh.sentNanos - known.receivedNanos >= 0) {
@@ -125,12 +132,9 @@
     return state.logTerm() == term && state.fencedTerm() <= term;
   }
 
-  /** Records a probe that failed. The database gets no reads until it answers again. */
+  /** Records a failed probe. The database gets no reads until it answers a probe sent later. */
   public void failed(String databaseId, long nowNanos) {
-    Answer known = answers.get(databaseId);
-    if (known == null || nowNanos - known.sentNanos >= 0) {
-      failing.add(databaseId);
-    }
+    failing.put(databaseId, nowNanos);
   }
 
   /** Sets the databases on hosts that leave the fleet; they get no new work. */
@@ -141,7 +145,7 @@
   /** Returns whether the last probe of a database was answered and its host stays. */
   public boolean usable(String databaseId) {
     return answers.containsKey(databaseId)
-        && !failing.contains(databaseId)
+        && !failing.containsKey(databaseId)
         && !leaving.contains(databaseId);
   }
 
@@ -198,7 +202,7 @@
 
   /** Returns when the last answered probe of a database was sent. */
   public OptionalLong lastProbeNanos(String databaseId) {
-    @Nullable Answer answer = answers.get(databaseId);
+    Answer answer = answers.get(databaseId);
     return answer == null ? OptionalLong.empty() : OptionalLong.of(answer.sentNanos);
   }
 }
--- a/core/src/main/java/org/pollenspar/core/request/ReplicasFirstRouter.java
+++ b/core/src/main/java/org/pollenspar/core/request/ReplicasFirstRouter.java
@@ -51,8 +51,7 @@
   private static Stream<String> replicas(GroupTracker tracker, RouteView view) {
     return tracker.group().databases().stream()
         .filter(id -> Freshness.canServe(tracker, view, id))
-        .filter(id -> tracker.state(id).map(DatabaseState::role).equals(REPLICA));
+        .filter(
+            id -> tracker.state(id).map(DatabaseState::role).orElseThrow() == DatabaseRole.REPLICA);
   }
-
-  private static final Optional<DatabaseRole> REPLICA = Optional.of(DatabaseRole.REPLICA);
 }
--- a/core/src/main/java/org/pollenspar/core/request/WriteProgress.java
+++ b/core/src/main/java/org/pollenspar/core/request/WriteProgress.java
@@ -26,8 +26,8 @@
  */
 public final class WriteProgress {
 
-  /** Ten successes refill one retry; at the least load of a rank that takes about this long. */
-  private static final long BUDGET_WAIT_MILLIS = 100;
+  /** Told with refusals that may pass soon: about the time of a few requests. */
+  private static final long RETRY_AFTER_MILLIS = 100;
 
   private enum Phase {
     IDLE,
@@ -121,7 +121,7 @@
     } else if (event instanceof WriteEvent.Refused refused) {
       return end(refused.error(), refused.retryAfterMillis());
     }
-    return end(PollensparError.of(ErrorKind.DEADLINE_EXPIRED), 0);
+    return end(PollensparError.of(ErrorKind.DEADLINE_EXPIRED), RETRY_AFTER_MILLIS);
   }
 
   private WriteDecision started(Primary newPrimary) {
@@ -149,7 +149,7 @@
   private WriteDecision matched(List<ResultTable> tables, long nowNanos) {
     expect(Phase.RUNNING);
     if (request.remainingNanos(nowNanos) <= 0) {
-      return end(PollensparError.of(ErrorKind.DEADLINE_EXPIRED), 0);
+      return end(PollensparError.of(ErrorKind.DEADLINE_EXPIRED), RETRY_AFTER_MILLIS);
     }
     phase = Phase.COMMITTING;
     mayHaveCommitted = true;
@@ -225,10 +225,12 @@
   }
 
   private WriteDecision superseded(long term, long nowNanos) {
-    boolean concerned = primary != null && phase != Phase.IDLE && term > currentTerm();
-    if (!concerned) {
+    if (phase == Phase.IDLE) {
       minimumTerm = Math.max(minimumTerm, term);
-      return new WriteDecision.TryAgain(mayHaveCommitted, minimumTerm);
+      return tryAgain();
+    }
+    if (term <= currentTerm()) {
+      throw new IllegalStateException("Term " + term + " is not above " + currentTerm() + ".");
     }
     return termChanged(term, nowNanos);
   }
@@ -236,7 +238,7 @@
   /** The attempt's term is over; the next attempt is free, since each term allows one. */
   private WriteDecision termChanged(long term, long nowNanos) {
     if (request.remainingNanos(nowNanos) <= 0) {
-      return end(PollensparError.of(ErrorKind.DEADLINE_EXPIRED), 0);
+      return end(PollensparError.of(ErrorKind.DEADLINE_EXPIRED), RETRY_AFTER_MILLIS);
     }
     minimumTerm = Math.max(minimumTerm, Math.max(term, currentTerm() + 1));
     return tryAgain();
@@ -247,11 +249,11 @@
       return new WriteDecision.AwaitMajority(awaited);
     }
     if (request.remainingNanos(nowNanos) <= 0) {
-      return end(PollensparError.of(ErrorKind.DEADLINE_EXPIRED), 0);
+      return end(PollensparError.of(ErrorKind.DEADLINE_EXPIRED), RETRY_AFTER_MILLIS);
     }
     Rank rank = request.kind().rank();
     if (!budget.tryTake(rank)) {
-      return end(PollensparError.of(ErrorKind.RETRY_BUDGET_SPENT, rank.name()), BUDGET_WAIT_MILLIS);
+      return end(PollensparError.of(ErrorKind.RETRY_BUDGET_SPENT, rank.name()), RETRY_AFTER_MILLIS);
     }
     return tryAgain();
   }
