--- /dev/null
+++ b/core/src/test/java/org/pollenspar/core/request/PolicyMeasurementTest.java
@@ -0,0 +1,65 @@
+package org.pollenspar.core.request;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Function;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Compares the ranked queue with the baseline on the same seed and writes {@code
+ * target/policy.csv}. {@code -Dpollenspar.seconds=N} sets the simulated seconds of each run.
+ */
+class PolicyMeasurementTest {
+  private static final long SEED = 20261204;
+  private static final double SECONDS = Integer.getInteger("pollenspar.seconds", 10);
+  private static final double URGENT_DONE_PERCENT = 99.9;
+  private static final double FLOOR_TOLERANCE = 0.9;
+
+  /** Guards the targets of section 1.3: urgent work in a flood, and the floors in any flood. */
+  @Test
+  void targetsHoldInFloods() throws IOException {
+    Map<String, Function<List<Rank>, AdmissionQueue<?>>> policies = new TreeMap<>();
+    policies.put("baseline", AdmissionQueue::singleQueue);
+    policies.put("ranked", AdmissionQueue::ranked);
+    List<String> lines = new ArrayList<>(List.of(PolicySimulation.HEADER));
+    List<String> misses = new ArrayList<>();
+    for (int flooded : List.of(3, 1)) {
+      String flood = flooded == 3 ? "lowest" : "highest";
+      for (double load : new double[] {1, 2, 5, 10}) {
+        policies.forEach(
+            (name, policy) -> {
+              PolicySimulation run = new PolicySimulation(policy, flooded, load, SECONDS, SEED);
+              List<PolicySimulation.Tally> tallies = run.run();
+              lines.addAll(run.csv(name, flood, load));
+              if (name.equals("ranked")) {
+                misses.addAll(misses(run, tallies, flooded, flood + " x" + load));
+              }
+            });
+      }
+    }
+    Files.write(Path.of("target", "policy.csv"), lines);
+    assertTrue(misses.isEmpty(), misses::toString);
+  }
+
+  private static List<String> misses(
+      PolicySimulation run, List<PolicySimulation.Tally> tallies, int flooded, String where) {
+    List<String> misses = new ArrayList<>();
+    if (flooded == 3 && tallies.get(0).donePercent() < URGENT_DONE_PERCENT) {
+      misses.add(where + ": urgent done " + tallies.get(0).donePercent() + " %");
+    }
+    for (int i = 0; i < PolicySimulation.RANKS.size(); i++) {
+      double floor = PolicySimulation.RANKS.get(i).floorPercent();
+      if (run.sharePercent(i) < floor * FLOOR_TOLERANCE) {
+        misses.add(where + ": rank " + (i + 1) + " had " + run.sharePercent(i) + " %");
+      }
+    }
+    return misses;
+  }
+}
