core: expected wait counts urgent work that keeps arriving

Cause: the expected wait of a lower rank counted only the urgent work queued at that moment. In a flood of the highest rank the lower rank was accepted far beyond what its floor could serve in time.

Change: the accepted service of more urgent ranks over the last second is taken from the capacity that a rank can expect.

--- a/core/src/main/java/org/pollenspar/core/request/RankedAdmissionQueue.java
+++ b/core/src/main/java/org/pollenspar/core/request/RankedAdmissionQueue.java
@@ -26,12 +26,16 @@
   private static final double NANOS_PER_MILLI = 1e6;
   private static final double PERCENT = 100;
 
+  /** Keeps the expected wait finite while more urgent ranks take everything. */
+  private static final double LEAST_SHARE = 0.01;
+
   /** The requests and the service of one rank. */
   private static final class Lane<T> {
     final Rank rank;
     final WaitingLine<T> line = new WaitingLine<>();
     final ServiceTime service = new ServiceTime();
     final ServiceWindow window = new ServiceWindow();
+    final ServiceWindow accepted = new ServiceWindow();
 
     Lane(Rank rank) {
       this.rank = rank;
@@ -60,7 +64,7 @@
   @Override
   public Admission offer(T item, Rank rank, long deadlineNanos, long nowNanos) {
     Lane<T> lane = lane(rank);
-    double wait = expectedWaitNanos(lane);
+    double wait = expectedWaitNanos(lane, nowNanos);
     if (lane.line.length() >= lane.rank.queueLimit()) {
       return refused(ErrorKind.QUEUE_FULL, wait, wait);
     }
@@ -69,6 +73,7 @@
       return refused(ErrorKind.DEADLINE_UNREACHABLE, wait, excess);
     }
     lane.line.addLast(item, rank, deadlineNanos);
+    lane.accepted.add(lane.service.nanos(), nowNanos);
     return new Admission.Accepted();
   }
 
@@ -81,20 +86,24 @@
 
   /**
    * Returns the wait of one more request of a rank: the queued work of its own and more urgent
-   * ranks, served by what the floors of waiting lower ranks leave; or its own queue served by its
-   * own floor, if that is sooner.
+   * ranks, served by what is left after the floors of waiting lower ranks and after the more urgent
+   * work that keeps arriving at the rate of the last second; or its own queue served by its own
+   * floor, if that is sooner.
    */
-  private double expectedWaitNanos(Lane<T> lane) {
+  private double expectedWaitNanos(Lane<T> lane, long nowNanos) {
     double ahead = 0;
-    double lowerFloors = 0;
+    double taken = 0;
     for (Lane<T> other : lanes) {
       if (other.rank.level() <= lane.rank.level()) {
         ahead += other.queuedNanos();
       } else if (other.line.length() > 0) {
-        lowerFloors += other.floor();
+        taken += other.floor();
+      }
+      if (other.rank.level() < lane.rank.level()) {
+        taken += other.accepted.sum(nowNanos) / ServiceWindow.NANOS / concurrency;
       }
     }
-    double byRank = ahead / (1 - Math.min(lowerFloors, 0.5)) / concurrency;
+    double byRank = ahead / Math.max(LEAST_SHARE, 1 - taken) / concurrency;
     if (lane.floor() == 0) {
       return byRank;
     }
--- a/core/src/main/java/org/pollenspar/core/request/ServiceWindow.java
+++ b/core/src/main/java/org/pollenspar/core/request/ServiceWindow.java
@@ -2,6 +2,9 @@
 
 /** Sum of service given over the last second, in ten buckets of 100 ms. */
 final class ServiceWindow {
+  /** Length of the window. */
+  static final double NANOS = 1e9;
+
   private static final int BUCKETS = 10;
   private static final long BUCKET_NANOS = 100_000_000L;
 
