core: admission queue takes new ranks while requests wait

Cause: a new configuration version can change floors and limits or drop a rank; rebuilding the queue would lose what waits, and a request of a dropped rank would have failed with an exception.

Change: AdmissionQueue.setRanks keeps lanes by level and moves requests of a dropped rank to the next less urgent one. Cancelled requests are found by equality. Scenarios for both, and for a request that is put back after a refused connection.

--- a/core/src/main/java/org/pollenspar/core/request/AdmissionQueue.java
+++ b/core/src/main/java/org/pollenspar/core/request/AdmissionQueue.java
@@ -36,6 +36,12 @@
   /** Sets how many requests run at once. */
   void setConcurrency(int concurrency);
 
+  /**
+   * Takes the ranks of a new configuration version. What waits stays; requests of a rank that is no
+   * longer declared are served with the next less urgent rank.
+   */
+  void setRanks(Collection<Rank> ranks);
+
   /** Removes and returns everything that waits. */
   List<T> drain();
 
--- a/core/src/main/java/org/pollenspar/core/request/RankedAdmissionQueue.java
+++ b/core/src/main/java/org/pollenspar/core/request/RankedAdmissionQueue.java
@@ -4,7 +4,9 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import org.jspecify.annotations.Nullable;
 import org.pollenspar.core.process.ErrorKind;
 
@@ -28,8 +30,8 @@
 
   /**
    * Safety on the expected wait, since service times vary. While a rank is overloaded, a shorter
-   * queue serves just as many requests; without the margin a fifth of the accepted requests
-   * expired or ended late.
+   * queue serves just as many requests; without the margin a fifth of the accepted requests expired
+   * in the queue or ended late.
    */
   private static final double WAIT_MARGIN = 1.25;
 
@@ -38,7 +40,7 @@
 
   /** The requests and the service of one rank. */
   private static final class Lane<T> {
-    final Rank rank;
+    Rank rank;
     final WaitingLine<T> line = new WaitingLine<>();
     final ServiceTime service = new ServiceTime();
     final ServiceWindow window = new ServiceWindow();
@@ -58,14 +60,33 @@
   }
 
   /** The most urgent first. */
-  private final List<Lane<T>> lanes;
+  private List<Lane<T>> lanes;
 
   private final List<T> expired = new ArrayList<>();
   private int concurrency = 1;
 
   RankedAdmissionQueue(Collection<Rank> ranks) {
-    this.lanes =
-        ranks.stream().sorted(Comparator.comparingInt(Rank::level)).map(Lane<T>::new).toList();
+    this.lanes = lanes(ranks);
+  }
+
+  private static <T> List<Lane<T>> lanes(Collection<Rank> ranks) {
+    return ranks.stream().sorted(Comparator.comparingInt(Rank::level)).map(Lane<T>::new).toList();
+  }
+
+  @Override
+  public void setRanks(Collection<Rank> ranks) {
+    Map<Integer, Lane<T>> old = new TreeMap<>();
+    lanes.forEach(lane -> old.put(lane.rank.level(), lane));
+    List<Lane<T>> next = new ArrayList<>();
+    for (Lane<T> fresh : RankedAdmissionQueue.<T>lanes(ranks)) {
+      Lane<T> kept = old.remove(fresh.rank.level());
+      if (kept != null) {
+        kept.rank = fresh.rank;
+      }
+      next.add(kept != null ? kept : fresh);
+    }
+    lanes = List.copyOf(next);
+    old.values().forEach(lane -> lane(lane.rank).line.append(lane.line));
   }
 
   @Override
@@ -193,10 +214,11 @@
     return lane(rank).line.length();
   }
 
+  /** Returns the lane of a rank; of a rank not declared, that of the next less urgent one. */
   private Lane<T> lane(Rank rank) {
     return lanes.stream()
-        .filter(lane -> lane.rank.level() == rank.level())
+        .filter(lane -> lane.rank.level() >= rank.level())
         .findFirst()
-        .orElseThrow(() -> new IllegalArgumentException("Rank " + rank.name() + " is unknown."));
+        .orElseGet(() -> lanes.get(lanes.size() - 1));
   }
 }
--- a/core/src/main/java/org/pollenspar/core/request/SingleAdmissionQueue.java
+++ b/core/src/main/java/org/pollenspar/core/request/SingleAdmissionQueue.java
@@ -14,14 +14,18 @@
 final class SingleAdmissionQueue<T> implements AdmissionQueue<T> {
   private static final double NANOS_PER_MILLI = 1e6;
 
-  private final int limit;
+  private int limit;
   private final WaitingLine<T> line = new WaitingLine<>();
   private final ServiceTime service = new ServiceTime();
   private final List<T> expired = new ArrayList<>();
   private int concurrency = 1;
 
   SingleAdmissionQueue(Collection<Rank> ranks) {
-    this.limit = ranks.stream().mapToInt(Rank::queueLimit).sum();
+    this.limit = totalLimit(ranks);
+  }
+
+  private static int totalLimit(Collection<Rank> ranks) {
+    return ranks.stream().mapToInt(Rank::queueLimit).sum();
   }
 
   @Override
@@ -68,6 +72,11 @@
     concurrency = Math.max(1, newConcurrency);
   }
 
+  @Override
+  public void setRanks(Collection<Rank> ranks) {
+    limit = totalLimit(ranks);
+  }
+
   @Override
   public List<T> drain() {
     List<T> result = new ArrayList<>(expired);
--- a/core/src/main/java/org/pollenspar/core/request/WaitingLine.java
+++ b/core/src/main/java/org/pollenspar/core/request/WaitingLine.java
@@ -27,6 +27,10 @@
     entries.addFirst(new Entry<>(item, rank, deadlineNanos));
   }
 
+  void append(WaitingLine<T> other) {
+    entries.addAll(other.entries);
+  }
+
   int length() {
     return entries.size();
   }
@@ -60,7 +64,7 @@
   }
 
   boolean remove(T item) {
-    return entries.removeIf(entry -> entry.item == item);
+    return entries.removeIf(entry -> entry.item.equals(item));
   }
 
   void drainTo(List<T> items) {
--- a/core/src/test/java/org/pollenspar/core/request/DecisionScript.java
+++ b/core/src/test/java/org/pollenspar/core/request/DecisionScript.java
@@ -146,6 +146,11 @@
       case "drain" -> {
         return queue.drain().size() + " left " + queue.length();
       }
+      case "ranks" -> queue.setRanks(step.words.stream().map(DecisionScript::rank).toList());
+      case "put-back" -> queue.putBack(step.words.get(0), step.rank(), deadline(step), step.now);
+      case "cancel" -> {
+        return String.valueOf(queue.remove(step.words.get(0)));
+      }
       case "completed" -> queue.completed(step.rank(), step.time("service", 0), step.now);
       case "slots" -> queue.setConcurrency(step.number("n"));
       case "serve" -> {
@@ -156,6 +161,12 @@
     return "";
   }
 
+  /** Parses {@code level:floorPercent:queueLimit}. */
+  private static Rank rank(String text) {
+    int[] parts = Arrays.stream(text.split(":")).mapToInt(Integer::parseInt).toArray();
+    return new Rank(parts[0], String.valueOf(parts[0]), parts[1], parts[2]);
+  }
+
   private String flood(Step step) {
     int accepted = 0;
     for (int i = 0; i < step.number("count"); i++) {
