--- a/load/src/test/java/org/pollenspar/load/process/LoadProgramTest.java
+++ b/load/src/test/java/org/pollenspar/load/process/LoadProgramTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Runs the load generator against a proxy that keeps or breaks its promises. */
 class LoadProgramTest {
@@ -145,6 +146,18 @@
     }
   }
 
+  /** Guards against plans in the repository that the generator refuses. */
+  @Nested
+  class Plans {
+    @ParameterizedTest
+    @ValueSource(strings = {"vale-lector", "aridos"})
+    void areValid(String name) {
+      LoadPlan plan = LoadPlanReader.read(Path.of("plans", name + ".toml"));
+      assertEquals(3, plan.groups().size());
+      assertEquals(20, plan.lasting(20).phases().stream().mapToDouble(p -> p.seconds()).sum());
+    }
+  }
+
   /** Guards against a run with settings that were not understood. */
   @Nested
   class Refusals {
--- a/standin/src/main/java/org/pollenspar/standin/process/Replication.java
+++ b/standin/src/main/java/org/pollenspar/standin/process/Replication.java
@@ -83,7 +83,7 @@
     }
   }
 
-  private static long nextOffset(AppendRequest request, AppendReply reply) {
+  static long nextOffset(AppendRequest request, AppendReply reply) {
     if (reply.accepted()) {
       return request.previousOffset() + request.entries().size();
     }
--- /dev/null
+++ b/standin/src/test/java/org/pollenspar/standin/process/FailoverHistoryProperties.java
@@ -0,0 +1,185 @@
+package org.pollenspar.standin.process;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeSet;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.pollenspar.core.connection.Position;
+import org.pollenspar.standin.request.SqlException;
+import org.pollenspar.standin.request.SqlParser;
+import org.pollenspar.standin.version.AppendReply;
+import org.pollenspar.standin.version.AppendRequest;
+import org.pollenspar.standin.version.DatabaseEngine;
+import org.pollenspar.standin.version.EngineCounters;
+import org.pollenspar.standin.version.Transaction;
+
+/**
+ * Guards against a stand-in that loses a write which the rule of acknowledgement allows to be
+ * acknowledged, or whose logs stay apart. Runs random writes, messages, fences and promotions on
+ * engines without a network; every message may be lost or late.
+ */
+class FailoverHistoryProperties {
+  private static final int STEPS = 300;
+
+  @Property(tries = 400, seed = "20261204")
+  void acknowledgedWritesSurviveEveryFailover(
+      @ForAll long seed, @ForAll @IntRange(min = 1, max = 2) int tolerated) throws Exception {
+    History history = new History(2 * tolerated + 1, new Random(seed));
+    for (int step = 0; step < STEPS; step++) {
+      history.step();
+    }
+    history.heal();
+    history.verify();
+  }
+
+  /** One group and what its callers were told. */
+  private static final class History {
+    private final List<DatabaseEngine> engines = new ArrayList<>();
+    private final Map<String, Long> nextOffsets = new HashMap<>();
+    private final Map<Integer, Position> waiting = new HashMap<>();
+    private final TreeSet<String> acknowledged = new TreeSet<>();
+    private final Random random;
+    private long term = 1;
+    private boolean promoted = true;
+    private int writes;
+
+    History(int size, Random random) {
+      this.random = random;
+      for (int i = 0; i < size; i++) {
+        engines.add(new DatabaseEngine("d" + i, 0, new EngineCounters(), () -> 0, () -> {}));
+      }
+      engines.get(0).promote(1);
+    }
+
+    void step() throws Exception {
+      switch (random.nextInt(20)) {
+        case 0 -> fence(random.nextInt(engines.size() + 1));
+        case 1, 2 -> promote();
+        case 3, 4, 5, 6 -> write(random.nextInt(engines.size()));
+        default -> replicate(random.nextInt(engines.size()), random.nextInt(engines.size()));
+      }
+      acknowledge();
+    }
+
+    private void write(int at) throws SqlException {
+      DatabaseEngine engine = engines.get(at);
+      if (engine.leadership().isEmpty()) {
+        return;
+      }
+      writes++;
+      try {
+        run(engine, "INSERT INTO pollenspar.keys (key) VALUES ('" + writes + "')");
+        waiting.put(writes, engine.state().position());
+      } catch (SqlException e) {
+        assertEquals("25006", e.sqlState());
+      }
+    }
+
+    private static void run(DatabaseEngine engine, String sql) throws SqlException {
+      Transaction transaction = engine.begin(false);
+      try {
+        engine.execute(transaction, SqlParser.parse(sql).get(0).statement(), "");
+      } catch (SqlException e) {
+        engine.rollback(transaction);
+        throw e;
+      }
+      engine.commit(transaction);
+    }
+
+    private void replicate(int from, int to) throws InterruptedException {
+      Optional<Long> led = engines.get(from).leadership();
+      if (from == to || led.isEmpty()) {
+        return;
+      }
+      String link = from + "-" + to + "-" + led.get();
+      long next = nextOffsets.getOrDefault(link, engines.get(from).state().logOffset());
+      AppendRequest request = engines.get(from).entriesAfter(next, 0, 0, 1 + random.nextInt(3));
+      AppendReply reply = engines.get(to).append(request, 0);
+      boolean answerArrives = random.nextInt(10) > 0;
+      if (!reply.stale() && answerArrives) {
+        nextOffsets.put(link, Replication.nextOffset(request, reply));
+      }
+    }
+
+    /** Section 4 of the design: a majority holds the position in its term, and none is fenced. */
+    private void acknowledge() {
+      waiting.forEach(
+          (write, position) -> {
+            long holders =
+                engines.stream()
+                    .map(DatabaseEngine::state)
+                    .filter(s -> s.logTerm() == position.term())
+                    .filter(s -> s.logOffset() >= position.offset())
+                    .filter(s -> s.fencedTerm() <= position.term())
+                    .count();
+            if (2 * holders > engines.size()) {
+              acknowledged.add(Integer.toString(write));
+            }
+          });
+    }
+
+    private void fence(int reached) {
+      term++;
+      promoted = false;
+      List<DatabaseEngine> some = new ArrayList<>(engines);
+      Collections.shuffle(some, random);
+      some.subList(0, reached).forEach(engine -> engine.fence(term));
+    }
+
+    private void promote() {
+      List<DatabaseEngine> fenced =
+          engines.stream().filter(e -> e.state().fencedTerm() == term).toList();
+      if (!promoted && 2 * fenced.size() > engines.size()) {
+        Comparator<DatabaseEngine> byPosition = Comparator.comparing(e -> e.state().position());
+        promoted = fenced.stream().max(byPosition).orElseThrow().promote(term);
+      }
+    }
+
+    void heal() throws InterruptedException {
+      fence(engines.size());
+      promote();
+      assertTrue(promoted);
+      for (int round = 0; round < 2000; round++) {
+        replicate(random.nextInt(engines.size()), random.nextInt(engines.size()));
+      }
+      int leader = 0;
+      while (engines.get(leader).leadership().filter(led -> led == term).isEmpty()) {
+        leader++;
+      }
+      Position end = engines.get(leader).state().position();
+      for (int i = 0; i < engines.size(); i++) {
+        while (!engines.get(i).state().position().equals(end)) {
+          replicate(leader, i);
+        }
+      }
+    }
+
+    void verify() throws SqlException {
+      String expected = null;
+      for (DatabaseEngine engine : engines) {
+        TreeSet<String> found = new TreeSet<>();
+        engine
+            .execute(
+                engine.begin(true),
+                SqlParser.parse("SELECT key FROM pollenspar.keys").get(0).statement(),
+                "")
+            .rows()
+            .forEach(row -> found.add(row.get(0)));
+        assertTrue(found.containsAll(acknowledged), "acknowledged writes are missing");
+        expected = expected == null ? found.toString() : expected;
+        assertEquals(expected, found.toString());
+      }
+    }
+  }
+}
