Add scenarios of the gossip logic

Change: six scenario files: older values, start from a peer, silence, refused values, takeover of a watcher, leaving peers.

--- /dev/null
+++ b/core/src/test/java/org/pollenspar/core/version/SpreaderScenarios.java
@@ -0,0 +1,173 @@
+package org.pollenspar.core.version;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.URISyntaxException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.TestFactory;
+import org.pollenspar.core.process.Host;
+import org.pollenspar.core.process.HostList;
+import org.pollenspar.core.process.HostRole;
+import org.pollenspar.core.process.HostState;
+import org.pollenspar.core.process.Rendezvous;
+
+/** Runs every file of {@code scenarios/versions} against one process, by default a watcher. */
+class SpreaderScenarios {
+  private static final long MILLI = 1_000_000;
+  private static final TomlMapper MAPPER = new TomlMapper();
+
+  @TestFactory
+  Stream<DynamicTest> scenarios() throws IOException, URISyntaxException {
+    Path directory =
+        Path.of(Objects.requireNonNull(getClass().getResource("/scenarios/versions")).toURI());
+    try (Stream<Path> files = Files.list(directory)) {
+      List<Path> sorted = files.sorted().toList();
+      assertEquals(6, sorted.size(), "scenario files are missing from the class path");
+      return sorted.stream().map(SpreaderScenarios::test);
+    }
+  }
+
+  private static DynamicTest test(Path file) {
+    try {
+      JsonNode scenario = MAPPER.readTree(file.toFile());
+      String name = file.getFileName() + ": guards against " + scenario.path("guards").asText();
+      return DynamicTest.dynamicTest(name, file.toUri(), () -> run(scenario));
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private static void run(JsonNode scenario) {
+    List<Host> order =
+        Rendezvous.select("watchers", list(1, 9).hosts(), Spreader.WATCHERS_PER_DOMAIN + 1);
+    boolean next = scenario.path("own").asText().equals("next in order");
+    Script script = new Script(order.get(next ? order.size() - 1 : 0).id());
+    JsonNode steps = scenario.path("steps");
+    assertTrue(!steps.isEmpty(), "no steps");
+    for (JsonNode step : steps) {
+      String[] parts = step.asText().split(" -> ", 2);
+      String result = script.run(parts[0].split(" "));
+      assertEquals(parts[1], result, () -> "step \"" + step.asText() + "\"");
+    }
+  }
+
+  private static HostList list(long revision, int count) {
+    return new HostList(
+        revision, IntStream.rangeClosed(1, count).mapToObj(SpreaderScenarios::proxy).toList());
+  }
+
+  private static Host proxy(int number) {
+    return new Host(
+        "p" + number, "127.0.0.1", 1, 1, 1, "d", "r", HostRole.PROXY, HostState.LIVE, List.of());
+  }
+
+  private static Set<String> watchers(HostList list) {
+    return WatcherChoice.watchers(list, Spreader.WATCHERS_PER_DOMAIN).keySet();
+  }
+
+  /** One spreader and the words of the steps. */
+  private static final class Script {
+    private final Spreader spreader;
+    private long now = 1_000_000 * MILLI;
+
+    Script(String own) {
+      this.spreader = new Spreader(own, "d", new Random(1), now);
+    }
+
+    String run(String[] step) {
+      return switch (step[0]) {
+        case "start" -> text(spreader.start(now));
+        case "tick" -> text(spreader.tick(now));
+        case "time" -> {
+          now += Long.parseLong(step[1]) * MILLI;
+          yield "nothing";
+        }
+        case "platform" -> text(spreader.platformValue(value(step, 1), now));
+        case "value" -> text(spreader.valueReceived(step[1], value(step, 2), now));
+        case "digest" -> text(spreader.digestReceived(step[1], digest(step), now));
+        case "acknowledge" -> text(spreader.digestAcknowledged(step[1], digest(step), now));
+        case "contact", "fail", "refuse" -> note(step);
+        case "isolated" -> String.valueOf(spreader.isolated(now));
+        case "leaving" -> leaving(step);
+        case "version" ->
+            "configuration %d, hosts %d"
+                .formatted(spreader.digest().configVersion(), spreader.digest().hostListRevision());
+        default -> throw new IllegalArgumentException(step[0]);
+      };
+    }
+
+    private String note(String[] step) {
+      switch (step[0]) {
+        case "contact" -> spreader.platformContact(now);
+        case "fail" -> spreader.peerFailed(step[1], now);
+        default -> spreader.refuse(SpreadKind.CONFIGURATION, Long.parseLong(step[2]));
+      }
+      return "nothing";
+    }
+
+    private String leaving(String[] step) {
+      if (step.length == 1) {
+        return new TreeSet<>(spreader.leavingPeers(now)).toString();
+      }
+      return text(spreader.digestReceived(step[2], new SpreadDigest(0, 0, true), now));
+    }
+
+    private static SpreadDigest digest(String[] step) {
+      return new SpreadDigest(Long.parseLong(step[3]), Long.parseLong(step[5]), false);
+    }
+
+    /** Reads "configuration VERSION" or "hosts REVISION [without watchers] of COUNT". */
+    private static SpreadValue value(String[] step, int from) {
+      long version = Long.parseLong(step[from + 1]);
+      if (step[from].equals("configuration")) {
+        return new SpreadValue.Configuration(
+            new ConfigurationVersion(version, "a" + version, "test", "", "", List.of()));
+      }
+      HostList list = list(version, Integer.parseInt(step[step.length - 1]));
+      if (step[from + 2].equals("without")) {
+        Set<String> gone = watchers(list);
+        List<Host> rest = list.hosts().stream().filter(h -> !gone.contains(h.id())).toList();
+        list = new HostList(version, rest);
+      }
+      return new SpreadValue.Hosts(list);
+    }
+
+    private static String text(List<SpreadAction> actions) {
+      List<String> words = new ArrayList<>();
+      long digests = actions.stream().filter(a -> a instanceof SpreadAction.SendDigest).count();
+      for (SpreadAction action : actions) {
+        if (action instanceof SpreadAction.Adopted adopted) {
+          String kind = adopted.value().kind() == SpreadKind.HOST_LIST ? "hosts" : "configuration";
+          words.add("adopted " + kind + " " + adopted.value().version());
+        } else if (action instanceof SpreadAction.Fetch fetch) {
+          words.add("fetch configuration from " + fetch.from().id());
+        } else if (action instanceof SpreadAction.WatchPlatform watch) {
+          words.add(watch.active() ? "watch on" : "watch off");
+        } else if (action instanceof SpreadAction.SendDigest) {
+          if (digests > 0) {
+            words.add(digests + " digests");
+            digests = 0;
+          }
+        } else {
+          words.add("ask platform");
+        }
+      }
+      return words.isEmpty() ? "nothing" : String.join(", ", words);
+    }
+  }
+}
