Try the watchers of all domains before the platform

Cause: with both watchers of a domain down, its other processes addressed only these, and after 10 s each called the platform: 740 calls a minute in a fleet of 300, where 72 are due. Change: after a watcher failed, one of any domain is tried; once the platform has been asked, half of the exchanges go to other peers.

--- a/core/src/main/java/org/pollenspar/core/version/Spreader.java
+++ b/core/src/main/java/org/pollenspar/core/version/Spreader.java
@@ -61,6 +61,7 @@
   private List<Host> peers = List.of();
   private Map<String, Host> watchers = Map.of();
   private boolean watching;
+  private boolean watcherFailed;
   private boolean leaving;
   private volatile long lastContact;
   private long lastWatcherContact;
@@ -135,6 +136,7 @@
   /** Takes note that a peer did not answer. */
   public void peerFailed(String peer, long nowNanos) {
     health.failed(peer, nowNanos);
+    watcherFailed |= watchers.containsKey(peer);
     fetches.values().removeIf(fetch -> fetch.peer().equals(peer));
   }
 
@@ -245,12 +247,17 @@
   }
 
   private Optional<Host> exchangePartner(long nowNanos) {
-    if (!watching && nowNanos - lastWatcherContact > WATCHER_PATIENCE_NANOS) {
+    long silence = nowNanos - lastWatcherContact;
+    // Once the platform has been asked, half of the exchanges go to other peers again.
+    boolean seekWatcher =
+        silence > WATCHER_PATIENCE_NANOS && (silence <= SILENCE_NANOS || random.nextBoolean());
+    if (!watching && seekWatcher) {
       List<Host> known = usable(List.copyOf(watchers.values()), nowNanos);
       List<Host> near = known.stream().filter(h -> h.domain().equals(ownDomain)).toList();
-      List<Host> candidates = near.isEmpty() ? known : near;
-      if (!candidates.isEmpty()) {
-        return pick(candidates);
+      // After a failure all domains are tried, since the own domain's watchers may all be down.
+      Optional<Host> watcher = pick(watcherFailed || near.isEmpty() ? known : near);
+      if (watcher.isPresent()) {
+        return watcher;
       }
     }
     List<Host> candidates = usable(peers, nowNanos);
@@ -282,6 +289,7 @@
     health.heard(from, digest.leaving(), nowNanos);
     if (watchers.containsKey(from)) {
       lastWatcherContact = nowNanos;
+      watcherFailed = false;
     }
   }
 
--- a/core/src/test/java/org/pollenspar/core/version/SpreaderProperties.java
+++ b/core/src/test/java/org/pollenspar/core/version/SpreaderProperties.java
@@ -106,6 +106,23 @@
     assertEquals(8, fleet.nodes.stream().filter(n -> n.alive && n.spreader.watching()).count());
   }
 
+  @Example
+  void otherDomainsWatchersServeADomainWhoseWatchersAreDown() {
+    SpreaderSimulation fleet = new SpreaderSimulation(300, 13);
+    fleet.publishConfiguration();
+    fleet.run(20_000);
+    fleet.nodes.stream()
+        .filter(n -> n.host.domain().equals("d0") && n.spreader.watching())
+        .forEach(SpreaderSimulation.Node::kill);
+    fleet.run(10_000);
+    fleet.platformCalls = 0;
+    fleet.run(60_000);
+    assertEquals(6 * 2 * 6, fleet.platformCalls, 12);
+    fleet.publishConfiguration();
+    fleet.millisUntilConverged(MAX_ROUNDS * 1_000L);
+    assertTrue(fleet.converged());
+  }
+
   @Example
   void startsFromAPeerWhileThePlatformHasNoConfigurationToGive() {
     SpreaderSimulation fleet = new SpreaderSimulation(30, 5);
