core: no claim to the floor of a time in which nothing waited

Cause: a rank's deficit was counted over the last second even if nothing of it had waited. In a sudden flood of lower ranks, urgent work got no slot until they had caught up: for the sum of their floors times one second, which exceeds a deadline of 200 ms.

Change: when a request joins an empty lane, the part of the floor that the rank did not use over the last second is taken as served.

Ruled out: letting a floor take at most every second start; with short requests in the rank with the floor this keeps less than the floor.

Figures, scenario of 1 ms requests, first 100 ms of the flood, shares of ranks 1:2:3 with floors 0, 20 and 10 %: 0:100:0 before, 71:20:9 after.

--- a/core/src/main/java/org/pollenspar/core/request/RankedAdmissionQueue.java
+++ b/core/src/main/java/org/pollenspar/core/request/RankedAdmissionQueue.java
@@ -17,7 +17,9 @@
  * floor comes first, the largest deficit first; else the most urgent rank. Service is charged when
  * a request starts, by the smoothed service time of its rank. Strict order of ranks alone would
  * stop the lower ranks in a flood of a higher one; weights for all ranks would make urgent work
- * wait in a flood of any other.
+ * wait in a flood of any other. A rank has no claim to the floor of a time in which nothing of it
+ * waited: with that claim, a sudden flood of lower ranks would stop urgent work for the sum of
+ * their floors times one second.
  *
  * <p>A request whose expected wait exceeds its deadline is refused at once. The caller then learns
  * early that it should try again, and no slot is used for work that nobody waits for.
@@ -46,6 +48,9 @@
     final ServiceWindow window = new ServiceWindow();
     final ServiceWindow accepted = new ServiceWindow();
 
+    /** Floor that the rank did not use because nothing waited. */
+    final ServiceWindow unused = new ServiceWindow();
+
     Lane(Rank rank) {
       this.rank = rank;
     }
@@ -100,6 +105,10 @@
     if (excess > 0) {
       return refused(ErrorKind.DEADLINE_UNREACHABLE, wait, excess);
     }
+    if (lane.line.length() == 0) {
+      List<ServiceWindow> all = lanes.stream().map(each -> each.window).toList();
+      lane.unused.raiseTo(lane.floor(), lane.window, all, nowNanos);
+    }
     lane.line.addLast(item, rank, deadlineNanos);
     lane.accepted.add(lane.service.nanos(), nowNanos);
     return new Admission.Accepted();
@@ -164,7 +173,8 @@
       if (lane.line.length() == 0) {
         continue;
       }
-      double deficit = lane.floor() * total - lane.window.sum(nowNanos);
+      double had = lane.window.sum(nowNanos) + lane.unused.sum(nowNanos);
+      double deficit = lane.floor() * total - had;
       if (chosen == null || deficit > largestDeficit) {
         chosen = lane;
         largestDeficit = Math.max(0, deficit);
--- a/core/src/main/java/org/pollenspar/core/request/ServiceWindow.java
+++ b/core/src/main/java/org/pollenspar/core/request/ServiceWindow.java
@@ -1,5 +1,8 @@
 package org.pollenspar.core.request;
 
+import java.util.Arrays;
+import java.util.List;
+
 /** Sum of service given over the last second, in ten buckets of 100 ms. */
 final class ServiceWindow {
   /** Length of the window. */
@@ -25,10 +28,26 @@
     return sum;
   }
 
+  /**
+   * Raises this window, bucket by bucket, to what is missing until {@code served} has the given
+   * share of all service.
+   */
+  void raiseTo(double share, ServiceWindow served, List<ServiceWindow> all, long nowNanos) {
+    advance(nowNanos);
+    all.forEach(window -> window.advance(nowNanos));
+    for (int i = 0; i < BUCKETS; i++) {
+      double total = 0;
+      for (ServiceWindow window : all) {
+        total += window.buckets[i];
+      }
+      buckets[i] = Math.max(buckets[i], share * total - served.buckets[i]);
+    }
+  }
+
   private void advance(long nowNanos) {
     long bucket = Math.floorDiv(nowNanos, BUCKET_NANOS);
     if (lastBucket == Long.MIN_VALUE || bucket - lastBucket >= BUCKETS) {
-      java.util.Arrays.fill(buckets, 0);
+      Arrays.fill(buckets, 0);
       lastBucket = bucket;
     }
     while (lastBucket < bucket) {
