--- a/failover/src/main/java/org/pollenspar/failover/package-info.java
+++ /dev/null
@@ -1,5 +0,0 @@
-/** Placeholder. */
-@NullMarked
-package org.pollenspar.failover;
-
-import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/failover/src/main/java/org/pollenspar/failover/process/FailoverAgent.java
@@ -0,0 +1,107 @@
+package org.pollenspar.failover.process;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.Future;
+import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
+import org.pollenspar.core.process.DatabaseEndpoint;
+import org.pollenspar.core.process.Host;
+import org.pollenspar.core.process.HostList;
+import org.pollenspar.core.process.HostRole;
+import org.pollenspar.core.process.Rendezvous;
+import org.pollenspar.core.version.FleetFile;
+import org.pollenspar.core.version.GroupSpec;
+import org.pollenspar.net.version.FleetFeed;
+
+/**
+ * Watches the groups for which this agent is among the first in rendezvous order. Every agent
+ * computes the same order from the host list, so no host is reserved and no agent is elected.
+ */
+public final class FailoverAgent implements AutoCloseable {
+  /** Agents that watch a group; two may be lost at once. */
+  private static final int AGENTS_PER_GROUP = 3;
+
+  private static final int HOMES_PER_GROUP = 3;
+  private static final Duration TICK = Duration.ofMillis(50);
+
+  private final AgentContext context;
+  private final FleetFeed feed;
+  private final Map<String, GroupWatch> watches = new HashMap<>();
+  private @Nullable Future<?> ticker;
+
+  /** Creates an agent; {@link #start} begins its work. */
+  FailoverAgent(AgentContext context, FleetFeed feed) {
+    this.context = context;
+    this.feed = feed;
+  }
+
+  /** Begins to watch. */
+  public void start() {
+    feed.addListener(this::assign);
+    context.control().execute(this::assign);
+    ticker = context.control().scheduleRepeatedly(TICK, this::tick);
+  }
+
+  private void tick() {
+    long now = context.control().nowNanos();
+    watches.values().forEach(watch -> watch.tick(now));
+  }
+
+  /** Follows a new host list or applied file. */
+  private void assign() {
+    Map<String, GroupSpec> groups =
+        feed.current().map(version -> version.file()).map(FleetFile::groups).orElse(Map.of());
+    HostList hosts = feed.hosts();
+    List<Host> agents = hosts.live(HostRole.FAILOVER).toList();
+    List<Host> proxies = hosts.live(HostRole.PROXY).toList();
+    watches.keySet().retainAll(groups.keySet());
+    for (GroupSpec group : groups.values()) {
+      assign(group, hosts, agents, proxies);
+    }
+  }
+
+  private void assign(GroupSpec group, HostList hosts, List<Host> agents, List<Host> proxies) {
+    List<String> order =
+        Rendezvous.select(group.name(), agents, AGENTS_PER_GROUP).stream().map(Host::id).toList();
+    int place = order.indexOf(context.agentId());
+    if (place < 0) {
+      watches.remove(group.name());
+      return;
+    }
+    watches
+        .computeIfAbsent(
+            group.name(), name -> new GroupWatch(name, group.databases().size(), context))
+        .assign(
+            place,
+            Rendezvous.select(group.name(), proxies, HOMES_PER_GROUP),
+            leavingDatabases(hosts));
+  }
+
+  private static Set<String> leavingDatabases(HostList hosts) {
+    return hosts.hosts().stream()
+        .filter(host -> !host.state().acceptsNewWork())
+        .flatMap(host -> host.databases().stream())
+        .map(DatabaseEndpoint::id)
+        .collect(Collectors.toSet());
+  }
+
+  /** Returns place and suspicion per watched group; called on the control thread. */
+  Map<String, String> status() {
+    Map<String, String> status = new TreeMap<>();
+    watches.forEach(
+        (group, watch) -> status.put(group, "place " + watch.place() + " " + watch.suspicion()));
+    return status;
+  }
+
+  @Override
+  public void close() {
+    if (ticker != null) {
+      ticker.cancel(false);
+    }
+  }
+}
--- /dev/null
+++ b/failover/src/main/java/org/pollenspar/failover/process/FailoverSteps.java
@@ -0,0 +1,159 @@
+package org.pollenspar.failover.process;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import org.pollenspar.core.connection.DatabaseRole;
+import org.pollenspar.core.connection.DatabaseState;
+import org.pollenspar.core.process.ErrorKind;
+import org.pollenspar.core.process.GroupSummary;
+import org.pollenspar.core.process.LeaseAnswer;
+import org.pollenspar.core.process.PollensparError;
+import org.pollenspar.net.process.GroupService;
+import org.pollenspar.net.process.KeyValueService;
+
+/** The calls of a failover, each on a blocking thread with its answer on the control thread. */
+final class FailoverSteps {
+  private static final Duration SUMMARY_TIMEOUT = Duration.ofMillis(500);
+  private static final Duration FENCE_TIMEOUT = Duration.ofMillis(1000);
+  private static final Duration PROMOTE_TIMEOUT = Duration.ofMillis(1000);
+
+  /** An outage of the key-value service costs a failover this much and no more. */
+  private static final Duration LEASE_WAIT = Duration.ofMillis(300);
+
+  private static final Duration LEASE_TTL = Duration.ofSeconds(3);
+
+  private final String group;
+  private final AgentContext context;
+
+  FailoverSteps(String group, AgentContext context) {
+    this.group = group;
+    this.context = context;
+  }
+
+  void readSummary(Consumer<Optional<GroupSummary>> answer) {
+    run(
+        () ->
+            context
+                .groups()
+                .status(group, SUMMARY_TIMEOUT)
+                .map(FailoverSteps::summary)
+                .toJavaOptional(),
+        Optional.empty(),
+        answer);
+  }
+
+  private static GroupSummary summary(GroupService.GroupStatus status) {
+    Set<String> unreachable =
+        status.members().stream()
+            .filter(member -> !member.reachable())
+            .map(GroupService.MemberStatus::id)
+            .collect(Collectors.toSet());
+    return new GroupSummary(status.term(), status.primary(), unreachable);
+  }
+
+  void takeLease(Consumer<LeaseAnswer> answer) {
+    CompletableFuture<LeaseAnswer> lease =
+        CompletableFuture.supplyAsync(this::leaseAnswer, context.blocking());
+    lease
+        .completeOnTimeout(
+            LeaseAnswer.UNAVAILABLE,
+            LEASE_WAIT.toMillis(),
+            java.util.concurrent.TimeUnit.MILLISECONDS)
+        .exceptionally(failure -> LeaseAnswer.UNAVAILABLE)
+        .thenAcceptAsync(
+            taken -> {
+              context.timeline().record("failover_lease", group, taken.name());
+              answer.accept(taken);
+            },
+            context.control());
+  }
+
+  private LeaseAnswer leaseAnswer() {
+    KeyValueService keyValues = context.keyValues();
+    Either<PollensparError, KeyValueService.SwapResult> swap =
+        keyValues
+            .createLease(LEASE_TTL, LEASE_WAIT)
+            .flatMap(
+                lease ->
+                    keyValues.compareAndSwap(
+                        "pollenspar/failover/" + group,
+                        context.agentId(),
+                        0,
+                        Optional.of(lease),
+                        LEASE_WAIT));
+    return swap.fold(
+        error -> LeaseAnswer.UNAVAILABLE,
+        result -> result.applied() ? LeaseAnswer.GRANTED : LeaseAnswer.HELD_BY_OTHER);
+  }
+
+  void fence(long term, Consumer<List<DatabaseState>> answer) {
+    run(
+        () -> {
+          var fenced = context.groups().fence(group, term, context.agentId(), FENCE_TIMEOUT);
+          fenced.peekLeft(error -> refused("fence_refused", term, error));
+          return fenced.map(FailoverSteps::states).getOrElse(List.of());
+        },
+        List.of(),
+        states -> {
+          context.count("fences");
+          context
+              .timeline()
+              .record("group_fenced", group, "term " + term + ", databases " + ids(states));
+          answer.accept(states);
+        });
+  }
+
+  private static List<DatabaseState> states(List<GroupService.MemberStatus> members) {
+    return members.stream()
+        .map(
+            member ->
+                new DatabaseState(
+                    member.id(),
+                    DatabaseRole.REPLICA,
+                    member.fencedTerm(),
+                    member.logTerm(),
+                    member.offset(),
+                    0))
+        .toList();
+  }
+
+  private static List<String> ids(List<DatabaseState> states) {
+    return states.stream().map(DatabaseState::databaseId).toList();
+  }
+
+  void promote(long term, String databaseId, Consumer<Boolean> answer) {
+    run(
+        () -> {
+          var promoted =
+              context.groups().promote(group, term, context.agentId(), databaseId, PROMOTE_TIMEOUT);
+          promoted.peekLeft(error -> refused("promotion_refused", term, error));
+          return promoted.getOrElse(false);
+        },
+        false,
+        granted -> {
+          if (granted) {
+            context.count("promotions");
+            context.timeline().record("primary_promoted", group, databaseId + " in term " + term);
+          }
+          answer.accept(granted);
+        });
+  }
+
+  private void refused(String event, long term, PollensparError error) {
+    context.count(error.kind() == ErrorKind.PLATFORM_REFUSED ? "refusals" : "platform_failures");
+    context.timeline().record(event, group, "term " + term + ": " + error.message());
+  }
+
+  private <T> void run(Supplier<T> call, T onFailure, Consumer<T> answer) {
+    CompletableFuture.supplyAsync(call, context.blocking())
+        .exceptionally(failure -> onFailure)
+        .thenAcceptAsync(answer, context.control());
+  }
+}
