--- a/core/src/main/java/org/pollenspar/core/version/NearestName.java
+++ b/core/src/main/java/org/pollenspar/core/version/NearestName.java
@@ -5,11 +5,11 @@
 import java.util.Locale;
 
 /** Suggests the declared name that is most like a misspelt one, by Levenshtein distance. */
-final class NearestName {
+public final class NearestName {
   private NearestName() {}
 
   /** Returns {@code ", did you mean "x"?"}, or nothing if no name is similar. */
-  static String suggestion(String name, Collection<String> known) {
+  public static String suggestion(String name, Collection<String> known) {
     String lower = name.toLowerCase(Locale.ROOT);
     int limit = Math.max(2, name.length() / 3);
     return known.stream()
--- a/net/src/main/java/org/pollenspar/net/connection/NettyPeerNetwork.java
+++ b/net/src/main/java/org/pollenspar/net/connection/NettyPeerNetwork.java
@@ -170,7 +170,7 @@
       pending.fail(request.id(), "the peer does not read");
     } else if (request.claimForSending()) {
       connection.sent.add(request.id());
-      var forgotten =
+      var unusedRemoval =
           request.response().whenComplete((r, f) -> connection.sent.remove(request.id()));
       var unused =
           channel
--- /dev/null
+++ b/net/src/main/java/org/pollenspar/net/process/ErrorLog.java
@@ -0,0 +1,61 @@
+package org.pollenspar.net.process;
+
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import org.pollenspar.core.process.ErrorKind;
+import org.pollenspar.core.process.ErrorListener;
+import org.pollenspar.core.process.PollensparError;
+import org.pollenspar.core.process.Severity;
+
+/**
+ * Logs reported errors: the first of a kind, then at most one of that kind per interval with the
+ * number left out. An outage repeats one error thousands of times a second; the counters in {@code
+ * /metrics} have the exact numbers.
+ */
+public final class ErrorLog implements ErrorListener {
+  private static final long INTERVAL_NANOS = 10_000_000_000L;
+
+  private final System.Logger logger;
+  private final LongSupplier nanoTime;
+  private final Map<ErrorKind, Entry> entries = new EnumMap<>(ErrorKind.class);
+
+  /** Creates a listener that logs to {@code logger}. */
+  public ErrorLog(System.Logger logger, LongSupplier nanoTime) {
+    this.logger = logger;
+    this.nanoTime = nanoTime;
+  }
+
+  /** The last line of a kind. */
+  private static final class Entry {
+    private long loggedAt;
+    private long leftOut;
+  }
+
+  @Override
+  public void reported(PollensparError error) {
+    if (error.kind().severity() == Severity.NOTICE) {
+      return;
+    }
+    String line = line(error);
+    if (!line.isEmpty()) {
+      logger.log(error.kind().severity().level(), line);
+    }
+  }
+
+  private synchronized String line(PollensparError error) {
+    long now = nanoTime.getAsLong();
+    Entry entry = entries.get(error.kind());
+    if (entry == null) {
+      entry = new Entry();
+      entries.put(error.kind(), entry);
+    } else if (now - entry.loggedAt < INTERVAL_NANOS) {
+      entry.leftOut++;
+      return "";
+    }
+    String suffix = entry.leftOut == 0 ? "" : " (" + entry.leftOut + " more left out)";
+    entry.loggedAt = now;
+    entry.leftOut = 0;
+    return "error " + error.kind().number() + ": " + error.message() + suffix;
+  }
+}
--- /dev/null
+++ b/net/src/main/java/org/pollenspar/net/process/ProgramName.java
@@ -0,0 +1,25 @@
+package org.pollenspar.net.process;
+
+/** A program that is started with a settings file. */
+public enum ProgramName {
+  PROXY("pollenspar-proxy", "Serves callers: sessions, admission and transactions."),
+  FAILOVER("pollenspar-failover", "Watches database groups and orders promotions.");
+
+  private final String command;
+  private final String summary;
+
+  ProgramName(String command, String summary) {
+    this.command = command;
+    this.summary = summary;
+  }
+
+  /** Returns the name of the command. */
+  public String command() {
+    return command;
+  }
+
+  /** Returns what the program does, in one sentence. */
+  public String summary() {
+    return summary;
+  }
+}
--- /dev/null
+++ b/net/src/main/java/org/pollenspar/net/process/Settings.java
@@ -0,0 +1,36 @@
+package org.pollenspar.net.process;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.Objects;
+
+/** Checked settings of one program. */
+public final class Settings {
+  private final Map<Setting, String> values;
+
+  Settings(Map<Setting, String> values) {
+    this.values = new EnumMap<>(values);
+  }
+
+  /** Returns a text. */
+  public String text(Setting setting) {
+    return Objects.requireNonNull(values.get(setting), setting.key());
+  }
+
+  /** Returns a number. */
+  public int number(Setting setting) {
+    return Integer.parseInt(text(setting));
+  }
+
+  /** Returns the address to listen on with one of the ports. */
+  public InetSocketAddress listener(Setting port) {
+    return new InetSocketAddress(text(Setting.ADDRESS), number(port));
+  }
+
+  /** Returns the base URL of the platform. */
+  public URI platformUrl() {
+    return URI.create(text(Setting.PLATFORM_URL));
+  }
+}
--- a/net/src/main/java/org/pollenspar/net/request/BodyCollector.java
+++ b/net/src/main/java/org/pollenspar/net/request/BodyCollector.java
@@ -7,8 +7,11 @@
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.FilterChainEvent;
 import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpEvents;
+import org.glassfish.grizzly.http.HttpHeader;
 import org.glassfish.grizzly.http.HttpPacket;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.server.AddOn;
@@ -44,6 +47,22 @@
     builder.add(builder.indexOfType(HttpServerFilter.class), this);
   }
 
+  /**
+   * Treats requests that offer an upgrade as plain HTTP/1.1. Clients that prefer HTTP/2 offer it
+   * with every first request, and Grizzly would wait for the end of the connection as the end of
+   * such a request's body.
+   */
+  @Override
+  public NextAction handleEvent(FilterChainContext context, FilterChainEvent event) {
+    if (event instanceof HttpEvents.IncomingHttpUpgradeEvent upgrade) {
+      HttpHeader header = upgrade.getHttpHeader();
+      header.getUpgradeDC().recycle();
+      header.setIgnoreContentModifiers(false);
+      return context.getStopAction();
+    }
+    return context.getInvokeAction();
+  }
+
   @Override
   public NextAction handleRead(FilterChainContext context) {
     if (!HttpPacket.isHttp(context.getMessage())) {
--- a/net/src/test/java/org/pollenspar/net/process/HttpServiceTest.java
+++ b/net/src/test/java/org/pollenspar/net/process/HttpServiceTest.java
@@ -142,6 +142,22 @@
           "POST /e {} x", client.send(request, HttpResponse.BodyHandlers.ofString()).body());
     }
 
+    /** Grizzly alone waits for the end of the connection when a request offers an upgrade. */
+    @ParameterizedTest
+    @CsvSource({"GET, ''", "POST, x", "POST, ''"})
+    void thatOfferAnUpgradeAreServedAsTheyAre(String method, String body) throws Exception {
+      HttpClient http2 = HttpClient.newHttpClient();
+      HttpRequest request =
+          HttpRequest.newBuilder(uri("/u"))
+              .method(method, HttpRequest.BodyPublishers.ofString(body))
+              .build();
+      for (int i = 0; i < 2; i++) {
+        assertEquals(
+            method + " /u {} " + body,
+            http2.send(request, HttpResponse.BodyHandlers.ofString()).body());
+      }
+    }
+
     /** Repeated because a collector over Grizzly's stream lost one such request in eight. */
     @RepeatedTest(20)
     void chunkedBeyondTheLimitAreRefused() throws Exception {
