--- a/failover/src/main/java/org/pollenspar/failover/process/FailoverMain.java
+++ b/failover/src/main/java/org/pollenspar/failover/process/FailoverMain.java
@@ -74,7 +74,8 @@
     PlatformHttpClient platform = new PlatformHttpClient(settings.platformUrl());
     CompletableFuture<FleetFeed> feedReady = new CompletableFuture<>();
     NettyPeerNetwork network =
-        closer.register(new NettyPeerNetwork(id, clock, PEER_THREADS, MAX_PENDING, handler(feedReady)));
+        closer.register(
+            new NettyPeerNetwork(id, clock, PEER_THREADS, MAX_PENDING, handler(feedReady)));
     FleetFeed feed =
         closer.register(
             new FleetFeed(
--- a/failover/src/main/java/org/pollenspar/failover/process/FailoverSteps.java
+++ b/failover/src/main/java/org/pollenspar/failover/process/FailoverSteps.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
@@ -62,10 +63,7 @@
     CompletableFuture<LeaseAnswer> lease =
         CompletableFuture.supplyAsync(this::leaseAnswer, context.blocking());
     lease
-        .completeOnTimeout(
-            LeaseAnswer.UNAVAILABLE,
-            LEASE_WAIT.toMillis(),
-            java.util.concurrent.TimeUnit.MILLISECONDS)
+        .completeOnTimeout(LeaseAnswer.UNAVAILABLE, LEASE_WAIT.toMillis(), TimeUnit.MILLISECONDS)
         .exceptionally(failure -> LeaseAnswer.UNAVAILABLE)
         .thenAcceptAsync(
             taken -> {
@@ -98,7 +96,7 @@
         () -> {
           var fenced = context.groups().fence(group, term, context.agentId(), FENCE_TIMEOUT);
           fenced.peekLeft(error -> refused("fence_refused", term, error));
-          return fenced.map(FailoverSteps::states).getOrElse(List.of());
+          return fenced.fold(error -> List.<DatabaseState>of(), FailoverSteps::states);
         },
         List.of(),
         states -> {
--- a/load/src/main/java/org/pollenspar/load/capacity/CapacityProgram.java
+++ b/load/src/main/java/org/pollenspar/load/capacity/CapacityProgram.java
@@ -47,7 +47,8 @@
     try {
       commander.parse(arguments);
     } catch (ParameterException e) {
-      err.println(PollensparError.of(ErrorKind.INVALID_OPTION, String.valueOf(e.getMessage())).message());
+      err.println(
+          PollensparError.of(ErrorKind.INVALID_OPTION, String.valueOf(e.getMessage())).message());
       return EXIT_USAGE;
     }
     if (options.help) {
--- a/load/src/main/java/org/pollenspar/load/capacity/CapacitySubject.java
+++ b/load/src/main/java/org/pollenspar/load/capacity/CapacitySubject.java
@@ -181,6 +181,7 @@
   private static final long FAR_DEADLINE = 1_000_000_000_000_000L;
 
   private final String sizeUnit;
+
   @SuppressWarnings("ImmutableEnumChecker") // the lists are unmodifiable
   private final List<Integer> sizes;
 
--- a/proxy/src/test/java/org/pollenspar/proxy/process/FleetFixture.java
+++ b/proxy/src/test/java/org/pollenspar/proxy/process/FleetFixture.java
@@ -106,12 +106,7 @@
   void apply(long version, String text) {
     ConfigurationVersion value =
         new ConfigurationVersion(
-            version,
-            "apply-" + version,
-            "test",
-            ConfigurationVersion.hash(text),
-            text,
-            List.of());
+            version, "apply-" + version, "test", ConfigurationVersion.hash(text), text, List.of());
     var swapped =
         platformClient.compareAndSwap(
             ConfigurationJson.KEY,
