--- a/failover/src/main/java/org/pollenspar/failover/process/FailoverSteps.java
+++ b/failover/src/main/java/org/pollenspar/failover/process/FailoverSteps.java
@@ -92,7 +92,7 @@
   }
 
   void fence(long term, Consumer<List<DatabaseState>> answer) {
-    run(
+    this.<List<DatabaseState>>run(
         () -> {
           var fenced = context.groups().fence(group, term, context.agentId(), FENCE_TIMEOUT);
           fenced.peekLeft(error -> refused("fence_refused", term, error));
