--- a/core/src/main/java/org/pollenspar/core/process/FailoverPolicy.java
+++ b/core/src/main/java/org/pollenspar/core/process/FailoverPolicy.java
@@ -147,7 +147,7 @@
     if (leaving.contains(id)) {
       return Optional.of(SuspicionCause.LEAVING);
     }
-    if (fresh.stream().allMatch(report -> lost(report, id))) {
+    if (unreachable(fresh, id)) {
       return Optional.of(SuspicionCause.UNREACHABLE);
     }
     boolean stalled =
@@ -155,10 +155,24 @@
     return stalled ? Optional.of(SuspicionCause.NOT_REPLICATING) : Optional.empty();
   }
 
+  /** A home that reaches no database of the group is cut off itself and has no vote. */
+  private boolean unreachable(List<VantageReport> fresh, String id) {
+    List<VantageReport> voters =
+        fresh.stream()
+            .filter(report -> report.databases().stream().anyMatch(this::recent))
+            .toList();
+    return voters.stream().map(VantageReport::domain).distinct().count() >= requiredDomains
+        && voters.stream().allMatch(report -> lost(report, id));
+  }
+
+  private boolean recent(ObservedDatabase database) {
+    return database.probeAgeNanos() < timing.suspicionNanos();
+  }
+
   private boolean lost(VantageReport report, String id) {
     return report.databases().stream()
         .filter(database -> database.state().databaseId().equals(id))
-        .allMatch(database -> database.probeAgeNanos() >= timing.suspicionNanos());
+        .noneMatch(this::recent);
   }
 
   private List<VantageReport> freshReports(long nowNanos) {
--- a/core/src/main/java/org/pollenspar/core/process/Rendezvous.java
+++ b/core/src/main/java/org/pollenspar/core/process/Rendezvous.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -13,6 +12,9 @@
  *
  * <p>Every process that holds the same host list computes the same order without any message. When
  * a host leaves, only the names it carried move; modulo hashing would move nearly all of them.
+ *
+ * <p>Each selection scans the hosts once per place instead of sorting them: few places are asked
+ * for, and all groups are selected again after each change of the host list.
  */
 public final class Rendezvous {
   private static final long FNV_OFFSET = 0xcbf29ce484222325L;
@@ -22,38 +24,64 @@
 
   /**
    * Returns up to {@code count} hosts for a name. The best host of each failure domain comes first;
-   * once all domains are used, the rest follow by weight.
+   * once all domains are used, the next best of each follow.
    */
   public static List<Host> select(String name, Collection<Host> hosts, int count) {
-    List<Host> byWeight = new ArrayList<>(hosts);
-    byWeight.sort(
-        Comparator.<Host>comparingLong(host -> weight(name, host.id()))
-            .reversed()
-            .thenComparing(Host::id));
-    return spreadOverDomains(byWeight, count);
+    Host[] candidates = hosts.toArray(new Host[0]);
+    long[] weights = weights(name, candidates);
+    boolean[] taken = new boolean[candidates.length];
+    Set<String> usedDomains = new HashSet<>();
+    List<Host> selected = new ArrayList<>(count);
+    while (selected.size() < Math.min(count, candidates.length)) {
+      int best = best(candidates, weights, taken, usedDomains);
+      if (best < 0) {
+        usedDomains.clear();
+      } else {
+        taken[best] = true;
+        usedDomains.add(candidates[best].domain());
+        selected.add(candidates[best]);
+      }
+    }
+    return List.copyOf(selected);
   }
 
-  private static List<Host> spreadOverDomains(List<Host> byWeight, int count) {
-    List<Host> selected = new ArrayList<>();
-    List<Host> remaining = new ArrayList<>(byWeight);
-    while (selected.size() < count && !remaining.isEmpty()) {
-      Set<String> domains = new HashSet<>();
-      List<Host> round = remaining.stream().filter(h -> domains.add(h.domain())).toList();
-      selected.addAll(round.subList(0, Math.min(round.size(), count - selected.size())));
-      remaining.removeAll(round);
+  private static int best(
+      Host[] candidates, long[] weights, boolean[] taken, Set<String> usedDomains) {
+    int best = -1;
+    for (int i = 0; i < candidates.length; i++) {
+      boolean better =
+          best < 0
+              || weights[i] > weights[best]
+              || (weights[i] == weights[best]
+                  && candidates[i].id().compareTo(candidates[best].id()) < 0);
+      if (!taken[i] && better && !usedDomains.contains(candidates[i].domain())) {
+        best = i;
+      }
     }
-    return List.copyOf(selected);
+    return best;
   }
 
-  /** FNV-1a over both names, finished by a mixer, since FNV alone orders similar ids alike. */
-  static long weight(String name, String hostId) {
-    long hash = FNV_OFFSET;
-    String text = name + '\0' + hostId;
+  private static long[] weights(String name, Host[] candidates) {
+    long prefix = hash(FNV_OFFSET, name + '\0');
+    long[] weights = new long[candidates.length];
+    for (int i = 0; i < candidates.length; i++) {
+      weights[i] = mix(hash(prefix, candidates[i].id()));
+    }
+    return weights;
+  }
+
+  private static long hash(long start, String text) {
+    long hash = start;
     for (int i = 0; i < text.length(); i++) {
       hash = (hash ^ text.charAt(i)) * FNV_PRIME;
     }
-    hash = (hash ^ (hash >>> 33)) * 0xff51afd7ed558ccdL;
-    hash = (hash ^ (hash >>> 33)) * 0xc4ceb9fe1a85ec53L;
-    return (hash ^ (hash >>> 33)) >>> 1;
+    return hash;
+  }
+
+  /** FNV-1a alone orders similar ids alike for similar names; the mixer spreads its bits. */
+  private static long mix(long hash) {
+    long mixed = (hash ^ (hash >>> 33)) * 0xff51afd7ed558ccdL;
+    mixed = (mixed ^ (mixed >>> 33)) * 0xc4ceb9fe1a85ec53L;
+    return (mixed ^ (mixed >>> 33)) >>> 1;
   }
 }
--- a/core/src/test/java/org/pollenspar/core/process/FailoverPolicyTest.java
+++ b/core/src/test/java/org/pollenspar/core/process/FailoverPolicyTest.java
@@ -104,6 +104,31 @@
     }
   }
 
+  /** Guards against a failover that a home orders because its own network is cut. */
+  @Nested
+  class CutOffHome {
+
+    @ParameterizedTest
+    @CsvSource({"0, true", "2000, false"})
+    void hasNoVote(long replicaProbeAgeMillis, boolean acts) {
+      FailoverPolicy policy = new FailoverPolicy(3, FailoverTiming.STANDARD, 0);
+      DatabaseState primary = new DatabaseState("a", DatabaseRole.PRIMARY, 1, 1, 5, 1);
+      DatabaseState replica = new DatabaseState("b", DatabaseRole.REPLICA, 1, 1, 5, 1);
+      for (String number : List.of("1", "2")) {
+        long replicaAge = number.equals("1") ? 0 : replicaProbeAgeMillis * MILLI;
+        policy.reported(
+            new VantageReport(
+                "home-" + number,
+                "domain-" + number,
+                List.of(
+                    new ObservedDatabase(primary, 5 * SECOND),
+                    new ObservedDatabase(replica, replicaAge))),
+            SECOND);
+      }
+      assertEquals(acts, policy.tick(SECOND).equals(new FailoverAction.ReadSummary()));
+    }
+  }
+
   /** Guards against a choice that loses an acknowledged write, or keeps a leaving primary. */
   @Nested
   class Choice {
--- a/standin/src/main/java/org/pollenspar/standin/process/GroupAuthority.java
+++ b/standin/src/main/java/org/pollenspar/standin/process/GroupAuthority.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -112,12 +113,22 @@
     return order(target.get(), wanted);
   }
 
+  /**
+   * A position that a majority held before the fence is held by at least {@code required} of the
+   * fenced databases, so a database as far as that place in their order loses nothing acknowledged.
+   */
   private boolean mayLead(String databaseId, List<MemberState> fenced) {
-    Position mostAdvanced =
-        fenced.stream().map(MemberState::position).max(Position::compareTo).orElse(Position.ZERO);
-    return fenced.size() > group.members().size() / 2
-        && fenced.stream()
-            .anyMatch(s -> s.member().id().equals(databaseId) && s.position().equals(mostAdvanced));
+    int size = group.members().size();
+    int required = size / 2 + 1 - (size - fenced.size());
+    if (required < 1) {
+      return false;
+    }
+    List<Position> positions =
+        fenced.stream().map(MemberState::position).sorted(Comparator.reverseOrder()).toList();
+    Position bound = positions.get(required - 1);
+    return fenced.stream()
+        .filter(state -> state.member().id().equals(databaseId))
+        .anyMatch(state -> state.position().compareTo(bound) >= 0);
   }
 
   private Verdict order(Topology.Member member, long wanted) {
