--- a/failover/src/main/java/org/pollenspar/failover/package-info.java
+++ b/failover/src/main/java/org/pollenspar/failover/package-info.java
@@ -1,4 +1,4 @@
-/** Placeholder. */
+/** The failover agent: watches groups of databases and orders promotions. */
 @NullMarked
 package org.pollenspar.failover;
 
