--- a/core/src/main/java/org/pollenspar/core/process/FailoverPolicy.java
+++ b/core/src/main/java/org/pollenspar/core/process/FailoverPolicy.java
@@ -187,7 +187,7 @@
       reasonSince = OptionalLong.of(nowNanos);
     }
     long patience = topology.order() * STAGGER_NANOS;
-    if (view.leaderless(nowNanos)) {
+    if (betweenTerms(nowNanos)) {
       // Another agent is usually between fence and promotion.
       patience += FailoverView.SUSPICION_MILLIS * 1_000_000;
     }
@@ -199,10 +199,15 @@
   }
 
   private boolean reasonToAct(long nowNanos) {
-    return view.primary(nowNanos)
-        .map(
-            primary -> view.suspects(primary.id(), nowNanos) || replaceable(primary.id(), nowNanos))
-        .orElseGet(() -> view.leaderless(nowNanos));
+    boolean primaryLost =
+        view.primary(nowNanos)
+            .map(p -> view.suspects(p.id(), nowNanos) || replaceable(p.id(), nowNanos))
+            .orElse(false);
+    return primaryLost || betweenTerms(nowNanos);
+  }
+
+  private boolean betweenTerms(long nowNanos) {
+    return view.leaderless(nowNanos) || view.superseded(nowNanos);
   }
 
   /** Returns whether the primary's host leaves and another database could take over. */
--- a/core/src/main/java/org/pollenspar/core/process/FailoverView.java
+++ b/core/src/main/java/org/pollenspar/core/process/FailoverView.java
@@ -104,6 +104,19 @@
     return primary(nowNanos).isEmpty() && enough(witnesses);
   }
 
+  /**
+   * Returns whether a database is fenced above the primary's term. It follows the primary no more,
+   * and if a majority is, no write can be acknowledged although the primary answers. An agent that
+   * died between fence and promotion leaves this behind when its fence did not reach the primary.
+   */
+  boolean superseded(long nowNanos) {
+    Optional<ReportedDatabase> primary = primary(nowNanos);
+    return primary.isPresent()
+        && valid(nowNanos).stream()
+            .flatMap(home -> reportOf(home).databases().stream())
+            .anyMatch(d -> d.recent() && d.fencedTerm() > primary.get().logTerm());
+  }
+
   /** Returns whether a home that has just started, or reaches nothing, is kept from voting. */
   private boolean votes(HomeProxy home, ReportedDatabase seen, long nowNanos) {
     long knownMillis = (nowNanos - firstReportNanos.getOrDefault(home.id(), nowNanos)) / 1_000_000;
@@ -122,6 +135,7 @@
   boolean alert(long nowNanos) {
     Optional<ReportedDatabase> primary = primary(nowNanos);
     return primary.isEmpty()
+        || superseded(nowNanos)
         || valid(nowNanos).stream()
             .flatMap(home -> reportOf(home).database(primary.get().id()).stream())
             .anyMatch(database -> database.probeAgeMillis() >= ALERT_MILLIS);
--- a/core/src/test/java/org/pollenspar/core/process/FailoverPolicyTest.java
+++ b/core/src/test/java/org/pollenspar/core/process/FailoverPolicyTest.java
@@ -118,11 +118,16 @@
       assertTrue(tickAfter(0).isPresent());
     }
 
-    @Test
-    void aGroupFencedByAnAgentThatDiedIsTakenOver() {
+    /** The fence reached the primary, or only a replica. */
+    @ParameterizedTest
+    @CsvSource({"2, 2", "2, 1", "1, 2"})
+    void aGroupFencedByAnAgentThatDiedIsTakenOver(long primaryFence, long replicaFence) {
       for (int i = 0; i < 3; i++) {
-        var fencedPrimary = List.of(new ReportedDatabase("a", true, 2, 1, 5));
-        Stream.of("h1", "h2").forEach(home -> policy.report(home, fencedPrimary, now));
+        var fenced =
+            List.of(
+                new ReportedDatabase("a", true, primaryFence, 1, 5),
+                new ReportedDatabase("b", false, replicaFence, 1, 5));
+        Stream.of("h1", "h2").forEach(home -> policy.report(home, fenced, now));
         assertEquals(i == 2, tickAfter(0).isPresent(), "round " + i);
         now += 450 * MILLI;
       }
