proxy: test crossed, late and half answers through a relay

Cause: P3 and P4 were only checked with databases that answer in order. Change: a relay between home and stand-in replaces nonces or stops answers half-way; 400 reads at once must each get their own row. Queues take the ranks of a new version by setRanks, so what waits stays in its order. Ruled out: draining the queues into new ones; requests changed their places. Conclusion: an answer with another nonce is withheld, and a stalled database holds nobody beyond the deadline.

--- a/proxy/src/main/java/org/pollenspar/proxy/connection/GroupHome.java
+++ b/proxy/src/main/java/org/pollenspar/proxy/connection/GroupHome.java
@@ -58,7 +58,7 @@
   public void update(
       GroupSpec group, Collection<Rank> ranks, Collection<DatabaseAddress> addresses, int share) {
     databases.update(group, addresses, share);
-    queues.update(ranks, work.now());
+    queues.update(ranks);
     dispatchSoon();
   }
 
--- a/proxy/src/main/java/org/pollenspar/proxy/connection/HomeQueues.java
+++ b/proxy/src/main/java/org/pollenspar/proxy/connection/HomeQueues.java
@@ -26,45 +26,23 @@
     REPLICAS
   }
 
-  private final HomePolicy policy;
   private final Set<Ticket> parked = new HashSet<>();
   private final Map<Integer, Integer> parkedByLevel = new HashMap<>();
-  private Map<Integer, Rank> ranks = new HashMap<>();
-  private AdmissionQueue<Ticket> primary;
-  private AdmissionQueue<Ticket> replicas;
+  private List<Rank> ranks;
+  private final AdmissionQueue<Ticket> primary;
+  private final AdmissionQueue<Ticket> replicas;
 
   HomeQueues(HomePolicy policy, Collection<Rank> declared) {
-    this.policy = policy;
-    declared.forEach(rank -> ranks.put(rank.level(), rank));
-    this.primary = policy.newQueue(ranks.values());
-    this.replicas = policy.newQueue(ranks.values());
+    this.ranks = List.copyOf(declared);
+    this.primary = policy.newQueue(ranks);
+    this.replicas = policy.newQueue(ranks);
   }
 
-  /**
-   * Takes the ranks of a new configuration version. Levels that it no longer has are kept, since
-   * requests that arrived before still carry them.
-   */
-  void update(Collection<Rank> declared, long nowNanos) {
-    Map<Integer, Rank> merged = new HashMap<>(ranks);
-    declared.forEach(rank -> merged.put(rank.level(), rank));
-    if (merged.equals(ranks)) {
-      return;
-    }
-    ranks = merged;
-    AdmissionQueue<Ticket> newPrimary = policy.newQueue(merged.values());
-    AdmissionQueue<Ticket> newReplicas = policy.newQueue(merged.values());
-    move(primary, newPrimary, nowNanos);
-    move(replicas, newReplicas, nowNanos);
-    primary = newPrimary;
-    replicas = newReplicas;
-  }
-
-  private static void move(AdmissionQueue<Ticket> from, AdmissionQueue<Ticket> to, long nowNanos) {
-    List<Ticket> waiting = from.drain();
-    for (int i = waiting.size() - 1; i >= 0; i--) {
-      Ticket ticket = waiting.get(i);
-      to.putBack(ticket, ticket.rank(), ticket.request().deadlineNanos(), nowNanos);
-    }
+  /** Takes the ranks of a new configuration version; what waits stays. */
+  void update(Collection<Rank> declared) {
+    ranks = List.copyOf(declared);
+    primary.setRanks(ranks);
+    replicas.setRanks(ranks);
   }
 
   private AdmissionQueue<Ticket> queue(Lane lane) {
@@ -72,9 +50,6 @@
   }
 
   Admission offer(Lane lane, Ticket ticket, long nowNanos) {
-    if (!ranks.containsKey(ticket.rank().level())) {
-      update(List.of(ticket.rank()), nowNanos);
-    }
     return queue(lane).offer(ticket, ticket.rank(), ticket.request().deadlineNanos(), nowNanos);
   }
 
@@ -110,7 +85,7 @@
 
   Map<String, Integer> lengthByRank(Lane lane) {
     Map<String, Integer> lengths = new HashMap<>();
-    ranks.values().forEach(rank -> lengths.put(rank.name(), queue(lane).length(rank)));
+    ranks.forEach(rank -> lengths.put(rank.name(), queue(lane).length(rank)));
     return lengths;
   }
 
--- /dev/null
+++ b/proxy/src/test/java/org/pollenspar/proxy/connection/CrossedAnswersTest.java
@@ -0,0 +1,120 @@
+package org.pollenspar.proxy.connection;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.pollenspar.proxy.connection.HomeFixture.done;
+import static org.pollenspar.proxy.connection.HomeFixture.outcome;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.pollenspar.core.connection.Position;
+import org.pollenspar.core.process.Invariant;
+import org.pollenspar.core.request.Access;
+import org.pollenspar.core.request.Outcome;
+import org.pollenspar.core.request.WorkKind;
+
+/** Guards against an answer that reaches another caller than the one it belongs to (P3, P4). */
+class CrossedAnswersTest {
+  private static final int ITEMS = 40;
+  private static final long STALENESS_MILLIS = 60_000;
+  private static final WorkKind SHORT_READ =
+      new WorkKind("read", HomeFixture.URGENT, Access.READ, STALENESS_MILLIS, false, 300);
+
+  private final Map<String, Relay> relays = new ConcurrentHashMap<>();
+  private final HomeFixture fixture =
+      new HomeFixture(
+          HomePolicy.STANDARD,
+          database ->
+              relays
+                  .computeIfAbsent(database.peer().id(), id -> new Relay(database.port()))
+                  .port());
+
+  @AfterEach
+  void close() {
+    fixture.close();
+    relays.values().forEach(Relay::close);
+    assertEquals(List.of(), List.copyOf(fixture.failures));
+  }
+
+  private Position fillItems() {
+    List<String> inserts = new ArrayList<>();
+    for (int i = 0; i < ITEMS; i++) {
+      inserts.add("INSERT INTO stock (item, amount) VALUES ('i" + i + "', " + i + ")");
+    }
+    return done(fixture.write("items", inserts.toArray(String[]::new))).position().orElseThrow();
+  }
+
+  private static String select(int item) {
+    return "SELECT amount FROM stock WHERE item = 'i" + item % ITEMS + "'";
+  }
+
+  /** Checks an answer that may be a refusal; returns whether it was done. */
+  private static boolean belongs(Outcome outcome, int item) {
+    if (!(outcome instanceof Outcome.Done done)) {
+      return false;
+    }
+    assertEquals(Integer.toString(item % ITEMS), done.results().get(0).rows().get(0).get(0));
+    return true;
+  }
+
+  @Test
+  void manyRequestsAtOnceGetTheirOwnAnswers() {
+    Position position = fillItems();
+    List<CompletableFuture<Optional<Outcome>>> answers = new ArrayList<>();
+    for (int i = 0; i < 400; i++) {
+      answers.add(fixture.read(STALENESS_MILLIS, position, select(i)));
+    }
+    for (int i = 0; i < answers.size(); i++) {
+      assertTrue(belongs(outcome(answers.get(i)), i));
+    }
+    assertTrue(fixture.invariants.checks(Invariant.TRANSACTION_ISOLATION) >= 400);
+    assertEquals(0, fixture.violations());
+  }
+
+  @Test
+  void anAnswerWithAnotherNonceIsWithheld() {
+    Position position = fillItems();
+    relay("d1").crossed = true;
+    for (int i = 0; i < 40; i++) {
+      Outcome outcome = outcome(fixture.read(STALENESS_MILLIS, position, select(i)));
+      if (belongs(outcome, i)) {
+        assertFalse(((Outcome.Done) outcome).servedBy().equals("d1"));
+      }
+    }
+    assertTrue(fixture.invariants.violations(Invariant.ANSWER_MATCHES_REQUEST) > 0);
+  }
+
+  @Test
+  void aDatabaseThatStopsInMidAnswerHoldsNobody() throws InterruptedException {
+    Position position = fillItems();
+    for (Relay relay : relays.values()) {
+      relay.stalled = true;
+    }
+    List<CompletableFuture<Optional<Outcome>>> answers = new ArrayList<>();
+    for (int i = 0; i < 30; i++) {
+      answers.add(fixture.submit(SHORT_READ, Optional.empty(), false, position, select(i)));
+    }
+    for (int i = 0; i < answers.size(); i++) {
+      belongs(outcome(answers.get(i)), i);
+    }
+    for (Relay relay : relays.values()) {
+      relay.stalled = false;
+    }
+    HomeFixture.await(() -> fixture.report().databases().stream().allMatch(d -> d.usable()));
+    for (int i = 0; i < 100; i++) {
+      assertTrue(belongs(outcome(fixture.read(STALENESS_MILLIS, position, select(i))), i));
+    }
+    assertEquals(0, fixture.violations());
+  }
+
+  private Relay relay(String databaseId) {
+    return java.util.Objects.requireNonNull(relays.get(databaseId));
+  }
+}
