--- a/proxy/src/main/java/org/pollenspar/proxy/process/Proxy.java
+++ b/proxy/src/main/java/org/pollenspar/proxy/process/Proxy.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -12,11 +13,13 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.pollenspar.core.connection.TokenCodec;
 import org.pollenspar.core.process.Closer;
 import org.pollenspar.core.process.ErrorKind;
+import org.pollenspar.core.process.Host;
 import org.pollenspar.core.process.HostList;
 import org.pollenspar.core.process.Invariant;
 import org.pollenspar.core.process.InvariantChecker;
@@ -68,6 +71,7 @@
   private volatile Fleet fleet = new Fleet(Optional.empty(), HostList.EMPTY);
   private volatile boolean isolated;
   private volatile boolean draining;
+  private final AtomicBoolean closed = new AtomicBoolean();
 
   /**
    * Wires a proxy; {@link #start} opens its sockets for callers.
@@ -88,21 +92,8 @@
     MetricRegistry registry = common.registry();
     this.statusReport = new StatusReport(options, invariants, registry);
     Identifiers identifiers = new Identifiers();
-    HomeContext homeContext =
-        new HomeContext(
-            new PoolContext(
-                control,
-                options.login(),
-                threads("database"),
-                invariants,
-                ConnectionMeters.in(registry)),
-            options.policy(),
-            options.domain(),
-            timeline,
-            new HomeMeters(registry),
-            identifiers::nonce,
-            System::currentTimeMillis);
-    this.homes = new GroupHomes(options.hostId(), homeContext, timeline);
+    this.homes =
+        new GroupHomes(options.hostId(), homeContext(options, common, identifiers), timeline);
     ExecutorService answers = Executors.newFixedThreadPool(options.threads(), threads("answer"));
     closer.register(answers::shutdownNow);
     PeerNetwork peers = closer.register(peerNetworks.apply(this::answerPeer));
@@ -147,6 +138,25 @@
             "callers", options.callers(), MAX_BODY_BYTES, READ_TIMEOUT, options.threads(), callers);
   }
 
+  private static HomeContext homeContext(
+      ProxyOptions options, Common common, Identifiers identifiers) {
+    PoolContext pools =
+        new PoolContext(
+            common.control(),
+            options.login(),
+            threads("database"),
+            common.invariants(),
+            ConnectionMeters.in(common.registry()));
+    return new HomeContext(
+        pools,
+        options.policy(),
+        options.domain(),
+        common.timeline(),
+        new HomeMeters(common.registry()),
+        identifiers::nonce,
+        System::currentTimeMillis);
+  }
+
   /**
    * What every program of pollenspar has.
    *
@@ -226,6 +236,11 @@
     return fleet.version().isPresent() ? ProxyState.SERVING : ProxyState.STARTING;
   }
 
+  /** Returns the homes of a group by this proxy's host list. */
+  List<Host> homes(String group) {
+    return fleet.homes(group);
+  }
+
   /** Returns the status for operators. */
   public CompletableFuture<ObjectNode> status() {
     return control
@@ -266,6 +281,9 @@
   /** Closes everything at once. */
   @Override
   public void close() {
+    if (!closed.compareAndSet(false, true)) {
+      return;
+    }
     onControl(
         () -> {
           homes.close();
