--- a/proxy/src/main/java/org/pollenspar/proxy/process/Proxy.java
+++ b/proxy/src/main/java/org/pollenspar/proxy/process/Proxy.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.pollenspar.core.connection.TokenCodec;
@@ -70,6 +71,7 @@
   private volatile Fleet fleet = new Fleet(Optional.empty(), HostList.EMPTY);
   private volatile boolean isolated;
   private volatile boolean draining;
+  private final AtomicBoolean closed = new AtomicBoolean();
 
   /**
    * Wires a proxy; {@link #start} opens its sockets for callers.
@@ -279,6 +281,9 @@
   /** Closes everything at once. */
   @Override
   public void close() {
+    if (!closed.compareAndSet(false, true)) {
+      return;
+    }
     onControl(
         () -> {
           homes.close();
