Correct how long apply waits out an outage

Cause: the comment gave 10 to 40 s; 40 attempts with a pause of 250 ms and a timeout of 2 s give 10 s when calls are refused and 90 s when they time out.

--- a/cli/src/main/java/org/pollenspar/cli/ApplyCommand.java
+++ b/cli/src/main/java/org/pollenspar/cli/ApplyCommand.java
@@ -14,7 +14,7 @@
 final class ApplyCommand implements Command {
   private static final long PAUSE_MILLIS = 250;
 
-  /** With the pause and the calls' timeout of 2 s, an outage of 10 to 40 s is waited out. */
+  /** Waits out an outage of 10 s if calls are refused at once, 90 s if each times out after 2 s. */
   private static final int ATTEMPTS = 40;
 
   @ParametersDelegate private final CommonOptions common = new CommonOptions();
