--- a/net/src/test/java/org/pollenspar/net/process/HttpServiceTest.java
+++ b/net/src/test/java/org/pollenspar/net/process/HttpServiceTest.java
@@ -168,6 +168,51 @@
               .build();
       assertEquals(413, client.send(request, HttpResponse.BodyHandlers.ofString()).statusCode());
     }
+
+    /** Chunked requests went unanswered when their chunks came in several packets. */
+    @ParameterizedTest
+    @CsvSource({
+      "1, 998, 200",
+      "7, 998, 200",
+      "400, 998, 200",
+      "990, 998, 200",
+      "1, 1000, 413",
+      "7, 1000, 413",
+      "400, 1000, 413",
+      "990, 1000, 413"
+    })
+    void chunkedInSeveralPacketsAreAnswered(int packetBytes, int chunkBytes, int status)
+        throws Exception {
+      String chunk = Integer.toHexString(chunkBytes) + "\r\n" + "x".repeat(chunkBytes) + "\r\n";
+      String body = chunk + "1\r\nx\r\n0\r\n\r\n";
+      try (Socket socket =
+          connect("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n")) {
+        for (int i = 0; i < body.length(); i += packetBytes) {
+          String packet = body.substring(i, Math.min(body.length(), i + packetBytes));
+          socket.getOutputStream().write(packet.getBytes(StandardCharsets.US_ASCII));
+          Thread.sleep(1);
+        }
+        byte[] start = socket.getInputStream().readNBytes("HTTP/1.1 200".length());
+        assertEquals("HTTP/1.1 " + status, new String(start, StandardCharsets.US_ASCII));
+      }
+    }
+
+    /**
+     * The offer to switch to HTTP/2 that clients of the JDK make by default left a POST unanswered.
+     */
+    @Test
+    void offersOfAnotherProtocolAreIgnored() throws Exception {
+      HttpClient offering = HttpClient.newHttpClient();
+      for (int i = 0; i < 3; i++) {
+        HttpRequest request =
+            HttpRequest.newBuilder(uri("/"))
+                .timeout(Duration.ofSeconds(20))
+                .POST(HttpRequest.BodyPublishers.ofString("x".repeat(LIMIT)))
+                .build();
+        assertEquals(
+            200, offering.send(request, HttpResponse.BodyHandlers.ofString()).statusCode());
+      }
+    }
   }
 
   /** Guards against connections and threads held by callers that never finish. */
