proxy: purge idempotency records after the retention

Cause: records of keys are kept for key_retention_hours and then only take space. The fixture lists a proxy before it starts; an unlisted proxy asks the platform again only after 10 s, which made each test wait. Ruled out: one DELETE by age; it would lock all old rows in one transaction. Conclusion: the table of keys stays bounded by the writes of the retention.

--- a/proxy/src/main/java/org/pollenspar/proxy/process/Proxy.java
+++ b/proxy/src/main/java/org/pollenspar/proxy/process/Proxy.java
@@ -27,6 +27,7 @@
 import org.pollenspar.core.process.Timeline;
 import org.pollenspar.core.request.Outcome;
 import org.pollenspar.core.request.WorkRequest;
+import org.pollenspar.core.version.FleetFile;
 import org.pollenspar.core.version.VersionHolder;
 import org.pollenspar.net.connection.PeerHandler;
 import org.pollenspar.net.connection.PeerNetwork;
@@ -53,6 +54,7 @@
   private static final int MAX_BODY_BYTES = 256 * 1024;
   private static final Duration READ_TIMEOUT = Duration.ofSeconds(10);
   private static final Duration TICK = Duration.ofMillis(5);
+  private static final Duration PURGE_PAUSE = Duration.ofSeconds(10);
   private static final long ISOLATION_MILLIS = 10_000;
   private static final long CONTROL_TIMEOUT_SECONDS = 5;
 
@@ -64,6 +66,7 @@
   private final Closer closer = new Closer();
   private final FleetFeed feed;
   private final GroupHomes homes;
+  private final KeyPurger purger;
   private final KindHistory kinds = new KindHistory();
   private final CallerHandler callers;
   private final PeerRequests peerRequests;
@@ -94,6 +97,9 @@
     Identifiers identifiers = new Identifiers();
     this.homes =
         new GroupHomes(options.hostId(), homeContext(options, common, identifiers), timeline);
+    this.purger =
+        new KeyPurger(
+            new OwnHomes()::submit, identifiers::key, control::nowNanos, System::currentTimeMillis);
     ExecutorService answers = Executors.newFixedThreadPool(options.threads(), threads("answer"));
     closer.register(answers::shutdownNow);
     PeerNetwork peers = closer.register(peerNetworks.apply(this::answerPeer));
@@ -185,6 +191,8 @@
     feed.start();
     Future<?> ticker = control.scheduleRepeatedly(TICK, this::tick);
     closer.register(() -> ticker.cancel(false));
+    Future<?> purging = control.scheduleRepeatedly(PURGE_PAUSE, this::purgeKeys);
+    closer.register(() -> purging.cancel(false));
     http.start();
     closer.register(http);
   }
@@ -209,6 +217,20 @@
     homes.tick();
   }
 
+  /** Purges at the first home of each group only, so that no two proxies delete the same keys. */
+  private void purgeKeys() {
+    if (draining || fleet.version().isEmpty()) {
+      return;
+    }
+    FleetFile file = fleet.version().get().file();
+    for (String group : file.groups().keySet()) {
+      List<Host> order = fleet.homes(group);
+      if (!order.isEmpty() && order.get(0).id().equals(options.hostId())) {
+        var unused = purger.purge(group, file);
+      }
+    }
+  }
+
   private CompletionStage<Envelope.Builder> answerPeer(Envelope request) {
     return peerRequests.handle(request);
   }
--- a/proxy/src/test/java/org/pollenspar/proxy/connection/GroupHomeTest.java
+++ b/proxy/src/test/java/org/pollenspar/proxy/connection/GroupHomeTest.java
@@ -100,6 +100,15 @@
       assertEquals("100", fixture.amount(Position.ZERO));
     }
 
+    @Test
+    void recordsAreFoundByAgeAndDeletedByKey() {
+      String old = "SELECT key FROM pollenspar.keys WHERE created_ms <= 9999999999999 LIMIT 1";
+      Outcome.Done found = done(fixture.read(60_000, fixture.filled, old));
+      assertEquals(1, found.results().get(0).rows().size());
+      String delete = "DELETE FROM pollenspar.keys WHERE key = 'setup'";
+      assertEquals(1, done(fixture.write("purge", delete)).results().get(0).updated());
+    }
+
     @Test
     void aLostAnswerToACommitIsSettledByTheKey() {
       fixture.database(0).faults().lostCommitAnswers.set(1);
--- a/proxy/src/test/java/org/pollenspar/proxy/process/FleetFixture.java
+++ b/proxy/src/test/java/org/pollenspar/proxy/process/FleetFixture.java
@@ -151,9 +151,9 @@
               peerPort[0] = network.port();
               return network;
             });
+    platform.addHost(host(id, peerPort[0], HostRole.PROXY, domain, List.of()));
     proxy.start();
     proxies.add(closer.register(proxy));
-    platform.addHost(host(id, peerPort[0], HostRole.PROXY, domain, List.of()));
   }
 
   private static Host host(
