--- a/proxy/src/test/java/org/pollenspar/proxy/connection/GroupHomeTest.java
+++ b/proxy/src/test/java/org/pollenspar/proxy/connection/GroupHomeTest.java
@@ -197,6 +197,23 @@
     }
   }
 
+  /** Guards the comparison: the baseline differs in queue and read routing only. */
+  @Nested
+  class Baseline {
+    @Test
+    void sessionsWithWritesReadAtThePrimary() {
+      fixture.close();
+      fixture = new HomeFixture(HomePolicy.BASELINE, DatabaseStandin::port);
+      Position position = done(fixture.write("k", TAKE)).position().orElseThrow();
+      String look = "SELECT amount FROM stock WHERE item = 'book'";
+      Outcome.Done read = done(fixture.read(60_000, position, look));
+      assertEquals(DatabaseRole.PRIMARY, read.role());
+      assertEquals("99", read.results().get(0).rows().get(0).get(0));
+      Outcome.Done unrelated = done(fixture.read(60_000, Position.ZERO, look));
+      assertEquals(DatabaseRole.REPLICA, unrelated.role());
+    }
+  }
+
   /** Guards against new work on a host that leaves the fleet (P7). */
   @Nested
   class Leaving {
