proxy: test a flood of the lowest rank at one home

Cause: nothing guarded against requests that stay without an outcome under load. Change: 4,000 reads of rank 3, half of them without staleness, and 40 urgent writes at once; every write must be done and every read must end. Ruled out: a verdict on times; the figures belong to the load generator.

--- a/proxy/src/test/java/org/pollenspar/proxy/connection/GroupHomeTest.java
+++ b/proxy/src/test/java/org/pollenspar/proxy/connection/GroupHomeTest.java
@@ -17,7 +17,9 @@
 import org.pollenspar.core.connection.Position;
 import org.pollenspar.core.process.ErrorKind;
 import org.pollenspar.core.process.Invariant;
+import org.pollenspar.core.request.Access;
 import org.pollenspar.core.request.Outcome;
+import org.pollenspar.core.request.WorkKind;
 import org.pollenspar.standin.process.DatabaseStandin;
 
 /** Runs a home against three database stand-ins over real sockets. */
@@ -197,6 +199,35 @@
     }
   }
 
+  /** Guards against requests that are left without an outcome in a flood. */
+  @Nested
+  class Floods {
+    private CompletableFuture<Optional<Outcome>> bulkRead(long stalenessMillis) {
+      WorkKind kind =
+          new WorkKind("bulk", HomeFixture.BULK, Access.READ, stalenessMillis, true, 2_000);
+      String look = "SELECT amount FROM stock WHERE item = 'book'";
+      return fixture.submit(kind, Optional.empty(), false, fixture.filled, look);
+    }
+
+    @Test
+    void urgentWritesAreDoneAndEveryReadEnds() {
+      List<CompletableFuture<Optional<Outcome>>> reads = new ArrayList<>();
+      List<CompletableFuture<Optional<Outcome>>> writes = new ArrayList<>();
+      for (int i = 0; i < 4_000; i++) {
+        reads.add(bulkRead(i % 2 == 0 ? 0 : 60_000));
+        if (i % 100 == 0) {
+          writes.add(fixture.write("k" + i, TAKE));
+        }
+      }
+      writes.forEach(HomeFixture::done);
+      long done =
+          reads.stream().map(HomeFixture::outcome).filter(Outcome.Done.class::isInstance).count();
+      assertTrue(done > 0);
+      assertEquals("60", fixture.amount(Position.ZERO));
+      assertEquals(0, fixture.violations());
+    }
+  }
+
   /** Guards the comparison: the baseline differs in queue and read routing only. */
   @Nested
   class Baseline {
