standin: refuse options out of range before a socket is opened

A database with 0 workers accepted statements and never answered, and the command started without --id because JCommander does not check required options of commands.

--- a/standin/src/main/java/org/pollenspar/standin/process/DatabaseOptions.java
+++ b/standin/src/main/java/org/pollenspar/standin/process/DatabaseOptions.java
@@ -1,10 +1,16 @@
 package org.pollenspar.standin.process;
 
 import com.beust.jcommander.Parameter;
+import org.pollenspar.core.process.ErrorKind;
+import org.pollenspar.core.process.PollensparError;
 
 /** Options of the database stand-in. */
 public final class DatabaseOptions {
-  @Parameter(names = "--id", required = true, description = "name of the database")
+  private static final int MAX_PORT = 65_535;
+  private static final int MAX_WORKERS = 1000;
+  private static final long MAX_MILLIS = 3_600_000;
+
+  @Parameter(names = "--id", description = "name of the database")
   public String id = "";
 
   @Parameter(names = "--address", description = "IP number to listen on")
@@ -37,6 +43,28 @@
   @Parameter(names = "--help", help = true, description = "print the options")
   public boolean help;
 
+  /** Refuses values that the database cannot work with. */
+  void check() {
+    if (id.isEmpty()) {
+      throw PollensparError.of(ErrorKind.INVALID_OPTION, "--id is missing").asException();
+    }
+    require("--port", port, 0, MAX_PORT);
+    require("--control-port", controlPort, 0, MAX_PORT);
+    require("--max-connections", maxConnections, 1, Integer.MAX_VALUE);
+    require("--connect-ms", connectMillis, 0, MAX_MILLIS);
+    require("--service-ms", (long) Math.floor(serviceMillis), 0, MAX_MILLIS);
+    require("--workers", workers, 1, MAX_WORKERS);
+    require("--lag-ms", lagMillis, 0, MAX_MILLIS);
+    require("--lock-wait-ms", lockWaitMillis, 0, MAX_MILLIS);
+  }
+
+  private static void require(String name, long value, long lowest, long highest) {
+    if (value < lowest || value > highest) {
+      String message = name + " is " + value + ", allowed is " + lowest + " to " + highest;
+      throw PollensparError.of(ErrorKind.INVALID_OPTION, message).asException();
+    }
+  }
+
   /** Returns options for tests: free ports, no delays. */
   public static DatabaseOptions immediate(String id) {
     DatabaseOptions options = new DatabaseOptions();
--- a/standin/src/main/java/org/pollenspar/standin/process/DatabaseStandin.java
+++ b/standin/src/main/java/org/pollenspar/standin/process/DatabaseStandin.java
@@ -37,8 +37,9 @@
   private final HttpService control;
   private final DatabaseControl controlApi;
 
-  /** Starts the database. */
+  /** Starts the database; refuses options out of range before it opens a socket. */
   public DatabaseStandin(DatabaseOptions options) {
+    options.check();
     id = options.id;
     address = options.address;
     faults.lagMillis = options.lagMillis;
--- a/standin/src/main/java/org/pollenspar/standin/process/PlatformOptions.java
+++ b/standin/src/main/java/org/pollenspar/standin/process/PlatformOptions.java
@@ -4,10 +4,7 @@
 
 /** Options of the platform stand-in. */
 final class PlatformOptions {
-  @Parameter(
-      names = "--topology",
-      required = true,
-      description = "TOML file with hosts, groups and databases")
+  @Parameter(names = "--topology", description = "TOML file with hosts, groups and databases")
   String topology = "";
 
   @Parameter(names = "--address", description = "IP number to listen on")
--- a/standin/src/main/java/org/pollenspar/standin/process/StandinMain.java
+++ b/standin/src/main/java/org/pollenspar/standin/process/StandinMain.java
@@ -1,32 +1,51 @@
 package org.pollenspar.standin.process;
 
 import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import org.pollenspar.core.process.ErrorKind;
+import org.pollenspar.core.process.PollensparError;
 import org.pollenspar.core.process.PollensparException;
 
 /** Command line of the stand-ins: {@code database} and {@code platform}. */
 public final class StandinMain {
   private static final int EXIT_USAGE = 2;
 
+  private static final String VERSION = "0.1.0";
+
   private StandinMain() {}
 
+  /** Options that stand before the name of a stand-in. */
+  private static final class GlobalOptions {
+    @Parameter(names = "--help", help = true, description = "print the options")
+    private boolean help;
+
+    @Parameter(names = "--version", help = true, description = "print the version")
+    private boolean version;
+  }
+
   /** Runs a stand-in until the process is ended. */
   public static void main(String[] arguments) throws InterruptedException {
     DatabaseOptions database = new DatabaseOptions();
     PlatformOptions platform = new PlatformOptions();
+    GlobalOptions global = new GlobalOptions();
     JCommander commands =
         JCommander.newBuilder()
             .programName("pollenspar-standin")
+            .addObject(global)
             .addCommand("database", database)
             .addCommand("platform", platform)
             .build();
     try {
       commands.parse(arguments);
-      if (database.help || platform.help || commands.getParsedCommand() == null) {
+      if (global.version) {
+        System.out.println("pollenspar-standin " + VERSION);
+        return;
+      }
+      if (global.help || database.help || platform.help || commands.getParsedCommand() == null) {
         commands.usage();
         return;
       }
@@ -50,6 +69,10 @@
               + ", control port "
               + standin.controlPort());
     } else {
+      // JCommander does not check required options of commands.
+      if (platform.topology.isEmpty()) {
+        throw PollensparError.of(ErrorKind.INVALID_OPTION, "--topology is missing").asException();
+      }
       Topology topology = Topology.read(Path.of(platform.topology));
       PlatformStandin standin =
           new PlatformStandin(new InetSocketAddress(platform.address, platform.port), topology);
--- a/standin/src/test/java/org/pollenspar/standin/process/DatabaseStandinTest.java
+++ b/standin/src/test/java/org/pollenspar/standin/process/DatabaseStandinTest.java
@@ -20,6 +20,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.pollenspar.core.connection.DatabaseRole;
 import org.pollenspar.core.connection.Position;
+import org.pollenspar.core.process.PollensparException;
 
 /** Drives the database stand-in through the PostgreSQL JDBC driver. */
 class DatabaseStandinTest {
@@ -338,6 +339,18 @@
       }
     }
 
+    @ParameterizedTest
+    @CsvSource({"0, 1, 0, --max-connections", "1, 0, 0, --workers", "1, 1, -1, --service-ms"})
+    void optionsOutOfRangeAreRefused(int connections, int workers, double millis, String named) {
+      DatabaseOptions options = DatabaseOptions.immediate("x");
+      options.maxConnections = connections;
+      options.workers = workers;
+      options.serviceMillis = millis;
+      PollensparException refused =
+          assertThrows(PollensparException.class, () -> new DatabaseStandin(options).close());
+      assertTrue(refused.error().message().contains(named));
+    }
+
     @Test
     void rejectedConnectionIsNotCounted() {
       group.database(1).faults().rejectConnections = true;
