proxy: take the suggestion of names from core

Cause: core's NearestName is public now; the proxy had a copy of the algorithm. Ruled out: keeping both; two wordings for one thing. Conclusion: no behaviour changed but the wording.

--- a/proxy/src/main/java/org/pollenspar/proxy/request/FieldReader.java
+++ b/proxy/src/main/java/org/pollenspar/proxy/request/FieldReader.java
@@ -9,6 +9,7 @@
 import org.pollenspar.core.process.ErrorKind;
 import org.pollenspar.core.process.PollensparError;
 import org.pollenspar.core.process.PollensparException;
+import org.pollenspar.core.version.NearestName;
 
 /**
  * Reads typed fields of one JSON object; every fault names the field's path.
@@ -35,7 +36,7 @@
     for (Iterator<String> names = node.fieldNames(); names.hasNext(); ) {
       String name = names.next();
       if (!known.contains(name)) {
-        throw invalid(path(name), "unknown field" + NameHint.of(name, known));
+        throw invalid(path(name), "unknown field" + NearestName.suggestion(name, known));
       }
     }
   }
--- a/proxy/src/main/java/org/pollenspar/proxy/request/WorkParser.java
+++ b/proxy/src/main/java/org/pollenspar/proxy/request/WorkParser.java
@@ -24,6 +24,7 @@
 import org.pollenspar.core.request.WorkRequest;
 import org.pollenspar.core.version.FleetFile;
 import org.pollenspar.core.version.FleetVersion;
+import org.pollenspar.core.version.NearestName;
 
 /** Parses and checks the body of {@code POST /v1/work} against the applied file. */
 public final class WorkParser {
@@ -153,7 +154,7 @@
 
   private static PollensparException unknownName(
       ErrorKind kind, String name, Set<String> declared) {
-    return PollensparError.of(kind, name, NameHint.of(name, declared)).asException();
+    return PollensparError.of(kind, name, NearestName.suggestion(name, declared)).asException();
   }
 
   private static String describe(JsonProcessingException e) {
