--- a/failover/src/main/java/org/pollenspar/failover/process/GroupWatch.java
+++ b/failover/src/main/java/org/pollenspar/failover/process/GroupWatch.java
@@ -99,7 +99,7 @@
   private static VantageReport report(Host home, GroupReportMessage message) {
     List<ObservedDatabase> databases =
         message.getDatabasesList().stream().map(GroupWatch::observed).toList();
-    return new VantageReport(home.id(), message.getDomain(), databases);
+    return new VantageReport(home.id(), home.domain(), databases);
   }
 
   private static ObservedDatabase observed(DatabaseReport report) {
--- a/proxy/src/test/java/org/pollenspar/proxy/connection/GroupHomeTest.java
+++ b/proxy/src/test/java/org/pollenspar/proxy/connection/GroupHomeTest.java
@@ -17,7 +17,9 @@
 import org.pollenspar.core.connection.Position;
 import org.pollenspar.core.process.ErrorKind;
 import org.pollenspar.core.process.Invariant;
+import org.pollenspar.core.request.Access;
 import org.pollenspar.core.request.Outcome;
+import org.pollenspar.core.request.WorkKind;
 import org.pollenspar.standin.process.DatabaseStandin;
 
 /** Runs a home against three database stand-ins over real sockets. */
@@ -100,6 +102,15 @@
       assertEquals("100", fixture.amount(Position.ZERO));
     }
 
+    @Test
+    void recordsAreFoundByAgeAndDeletedByKey() {
+      String old = "SELECT key FROM pollenspar.keys WHERE created_ms <= 9999999999999 LIMIT 1";
+      Outcome.Done found = done(fixture.read(60_000, fixture.filled, old));
+      assertEquals(1, found.results().get(0).rows().size());
+      String delete = "DELETE FROM pollenspar.keys WHERE key = 'setup'";
+      assertEquals(1, done(fixture.write("purge", delete)).results().get(0).updated());
+    }
+
     @Test
     void aLostAnswerToACommitIsSettledByTheKey() {
       fixture.database(0).faults().lostCommitAnswers.set(1);
@@ -188,6 +199,52 @@
     }
   }
 
+  /** Guards against requests that are left without an outcome in a flood. */
+  @Nested
+  class Floods {
+    private CompletableFuture<Optional<Outcome>> bulkRead(long stalenessMillis) {
+      WorkKind kind =
+          new WorkKind("bulk", HomeFixture.BULK, Access.READ, stalenessMillis, true, 2_000);
+      String look = "SELECT amount FROM stock WHERE item = 'book'";
+      return fixture.submit(kind, Optional.empty(), false, fixture.filled, look);
+    }
+
+    @Test
+    void urgentWritesAreDoneAndEveryReadEnds() {
+      List<CompletableFuture<Optional<Outcome>>> reads = new ArrayList<>();
+      List<CompletableFuture<Optional<Outcome>>> writes = new ArrayList<>();
+      for (int i = 0; i < 4_000; i++) {
+        reads.add(bulkRead(i % 2 == 0 ? 0 : 60_000));
+        if (i % 100 == 0) {
+          writes.add(fixture.write("k" + i, TAKE));
+        }
+      }
+      writes.forEach(HomeFixture::done);
+      long done =
+          reads.stream().map(HomeFixture::outcome).filter(Outcome.Done.class::isInstance).count();
+      assertTrue(done > 0);
+      assertEquals("60", fixture.amount(Position.ZERO));
+      assertEquals(0, fixture.violations());
+    }
+  }
+
+  /** Guards the comparison: the baseline differs in queue and read routing only. */
+  @Nested
+  class Baseline {
+    @Test
+    void sessionsWithWritesReadAtThePrimary() {
+      fixture.close();
+      fixture = new HomeFixture(HomePolicy.BASELINE, DatabaseStandin::port);
+      Position position = done(fixture.write("k", TAKE)).position().orElseThrow();
+      String look = "SELECT amount FROM stock WHERE item = 'book'";
+      Outcome.Done read = done(fixture.read(60_000, position, look));
+      assertEquals(DatabaseRole.PRIMARY, read.role());
+      assertEquals("99", read.results().get(0).rows().get(0).get(0));
+      Outcome.Done unrelated = done(fixture.read(60_000, Position.ZERO, look));
+      assertEquals(DatabaseRole.REPLICA, unrelated.role());
+    }
+  }
+
   /** Guards against new work on a host that leaves the fleet (P7). */
   @Nested
   class Leaving {
