--- a/failover/src/main/java/org/pollenspar/failover/process/FailoverProgram.java
+++ b/failover/src/main/java/org/pollenspar/failover/process/FailoverProgram.java
@@ -25,7 +25,6 @@
 import org.pollenspar.net.process.ErrorLog;
 import org.pollenspar.net.process.MetricsText;
 import org.pollenspar.net.process.PlatformHttpClient;
-import org.pollenspar.net.process.ProgramName;
 import org.pollenspar.net.process.Setting;
 import org.pollenspar.net.process.Settings;
 import org.pollenspar.net.version.FleetFeed;
