net: pass configuration and host list on compressed

Ruled out: deltas, which need an agreed base version at both ends; they stay an option when compression is not enough.

--- a/core/src/main/java/org/pollenspar/core/connection/DatabaseState.java
+++ b/core/src/main/java/org/pollenspar/core/connection/DatabaseState.java
@@ -6,7 +6,8 @@
  * @param databaseId name of the database
  * @param role what it believes it is
  * @param fencedTerm terms below this one are refused by the database
- * @param logTerm term of the primary whose log it follows or writes
+ * @param logTerm term of the last log entry; a new primary opens its term with an empty entry, so a
+ *     log of a term holds everything before that term's start
  * @param logOffset last log entry it holds
  * @param connections open connections, this one included
  */
--- a/load/src/main/java/org/pollenspar/load/capacity/CapacitySubject.java
+++ b/load/src/main/java/org/pollenspar/load/capacity/CapacitySubject.java
@@ -17,6 +17,7 @@
 import org.pollenspar.core.request.RouteView;
 import org.pollenspar.core.version.FleetFileParser;
 import org.pollenspar.net.process.HostListJson;
+import org.pollenspar.net.version.CompressedText;
 
 /** Each part whose cost the capacity page needs, with the sizes at which it is measured. */
 public enum CapacitySubject {
@@ -164,6 +165,25 @@
     }
   },
 
+  /** Bytes of the messages between processes; values as they are passed on, compressed. */
+  PEER_MESSAGE("groups", List.of(3, 30, 100, 300, 700)) {
+    @Override
+    List<Measurement> measure(int size) {
+      String file = Samples.fleetFile(size);
+      String hosts = HostListJson.write(Samples.hostList(size * 9 / 7, size));
+      return List.of(
+          value(size, "configuration_bytes", CompressedText.compress(file).size()),
+          value(
+              size,
+              "cpu_ns_per_compression",
+              Probe.nanosPerOperation(1, () -> CompressedText.compress(file))),
+          value(size, "host_list_bytes", CompressedText.compress(hosts).size()),
+          value(size, "digest_bytes", Samples.digest().getSerializedSize()),
+          value(size, "report_request_bytes", Samples.reportRequest().getSerializedSize()),
+          value(size, "report_bytes", Samples.report().getSerializedSize()));
+    }
+  },
+
   /** Open HTTP connections of callers without a request in progress. */
   CALLER_CONNECTION("idle connections", List.of(250, 1000, 4000)) {
     @Override
--- a/load/src/main/java/org/pollenspar/load/capacity/Samples.java
+++ b/load/src/main/java/org/pollenspar/load/capacity/Samples.java
@@ -17,6 +17,11 @@
 import org.pollenspar.core.process.HostState;
 import org.pollenspar.core.request.Rank;
 import org.pollenspar.core.version.GroupSpec;
+import org.pollenspar.wire.DatabaseReport;
+import org.pollenspar.wire.DigestMessage;
+import org.pollenspar.wire.Envelope;
+import org.pollenspar.wire.GroupReportMessage;
+import org.pollenspar.wire.GroupReportRequestMessage;
 
 /** Builds inputs of a given size, in the proportions of the design scale. */
 final class Samples {
@@ -124,6 +129,42 @@
     return new SessionToken("0123456789abcdef0123456789abcdef", positions);
   }
 
+  static Envelope digest() {
+    return envelope()
+        .setDigest(
+            DigestMessage.newBuilder().setConfigVersion(1_000_000).setHostListRevision(1_000_000))
+        .build();
+  }
+
+  static Envelope reportRequest() {
+    return envelope()
+        .setGroupReportRequest(GroupReportRequestMessage.newBuilder().setGroup("group-0001"))
+        .build();
+  }
+
+  static Envelope report() {
+    GroupReportMessage.Builder report =
+        GroupReportMessage.newBuilder().setGroup("group-0001").setHome(true).setDomain("domain-1");
+    for (String database : group(1).databases()) {
+      report.addDatabases(
+          DatabaseReport.newBuilder()
+              .setDatabase(database)
+              .setRole("replica")
+              .setFencedTerm(100)
+              .setLogTerm(100)
+              .setLogOffset(1_000_000_000)
+              .setProbeAgeMillis(100));
+    }
+    return envelope().setGroupReport(report).build();
+  }
+
+  private static Envelope.Builder envelope() {
+    return Envelope.newBuilder()
+        .setRequestId(1_000_000)
+        .setHlc(1_800_000_000_000L << 16)
+        .setSender("failover-0001");
+  }
+
   /** Feeds one round of probe answers, one per database, with the offset grown by one. */
   static void probeRound(GroupTracker tracker, long offset, long sentNanos) {
     List<String> ids = tracker.group().databases();
--- a/net/src/main/java/org/pollenspar/net/version/FleetFeed.java
+++ b/net/src/main/java/org/pollenspar/net/version/FleetFeed.java
@@ -261,7 +261,8 @@
   }
 
   private void decodeFetched(Host from, SpreadKind kind, ValueMessage message) {
-    DecodedValue.decode(kind, message.getJson())
+    CompressedText.expand(message.getGzipJson())
+        .flatMap(json -> DecodedValue.decode(kind, json))
         .peek(
             value ->
                 onControl(
--- a/net/src/main/java/org/pollenspar/net/version/SpreadMessages.java
+++ b/net/src/main/java/org/pollenspar/net/version/SpreadMessages.java
@@ -32,7 +32,7 @@
             ValueMessage.newBuilder()
                 .setKind(wireKind(value.value().kind()))
                 .setVersion(value.value().version())
-                .setJson(value.json()));
+                .setGzipJson(CompressedText.compress(value.json())));
   }
 
   /** The answer of a process that does not have the value. */
