proxy: a retry that the entry refuses is unknown, not "not run"

Ruled out: refusing only known kinds of error this way; any refusal before the key lookup leaves the outcome open. Change: the entry reads the flag even of a body that it refuses. Conclusion: only a body that is not JSON is still "not run".

--- a/proxy/src/main/java/org/pollenspar/proxy/request/AnswerWriter.java
+++ b/proxy/src/main/java/org/pollenspar/proxy/request/AnswerWriter.java
@@ -64,7 +64,12 @@
     return withRetryAfter(error.kind().httpStatus(), node, retryAfterMillis);
   }
 
-  private HttpReply unknown(PollensparError error) {
+  /**
+   * Returns the reply to a write that may have been run.
+   *
+   * @param error why it cannot be told
+   */
+  public HttpReply unknown(PollensparError error) {
     return withRetryAfter(GATEWAY_TIMEOUT, errorNode("unknown", error), 0);
   }
 
--- a/proxy/src/main/java/org/pollenspar/proxy/request/CallerHandler.java
+++ b/proxy/src/main/java/org/pollenspar/proxy/request/CallerHandler.java
@@ -90,11 +90,21 @@
     Fleet current = fleet.get();
     Optional<FleetVersion> version = current.version();
     if (version.isEmpty()) {
-      return refuse(PollensparError.of(ErrorKind.NOT_CONFIGURED), RETRY_AFTER_MILLIS);
+      return refuseBody(body, PollensparError.of(ErrorKind.NOT_CONFIGURED), RETRY_AFTER_MILLIS);
     }
     Either<PollensparError, ParsedWork> parsed =
         parser.parse(body, version.get(), requestIds.incrementAndGet(), arrival);
-    return parsed.fold(error -> refuse(error, 0), work -> execute(work, current));
+    return parsed.fold(error -> refuseBody(body, error, 0), work -> execute(work, current));
+  }
+
+  /** Refuses a body that was not parsed; a retried write may be running or done. */
+  private CompletionStage<HttpReply> refuseBody(
+      String body, PollensparError error, long retryAfterMillis) {
+    if (!parser.claimsRetry(body)) {
+      return refuse(error, retryAfterMillis);
+    }
+    meters.refused(error.kind());
+    return CompletableFuture.completedFuture(writer.unknown(error));
   }
 
   /** Refuses work that this proxy does not take now; a retried write may be running elsewhere. */
--- a/proxy/src/main/java/org/pollenspar/proxy/request/WorkParser.java
+++ b/proxy/src/main/java/org/pollenspar/proxy/request/WorkParser.java
@@ -74,6 +74,16 @@
     }
   }
 
+  /** Returns whether a body that may be invalid otherwise says that it retries a keyed write. */
+  public boolean claimsRetry(String body) {
+    try {
+      JsonNode node = reader.readValue(body);
+      return node.path("retry").asBoolean() && node.path("key").isTextual();
+    } catch (JsonProcessingException e) {
+      return false;
+    }
+  }
+
   private ParsedWork parse(JsonNode node, FleetVersion version, long requestId, long nowNanos) {
     FieldReader fields = new FieldReader("", node, FIELDS);
     SessionToken session = session(fields);
--- /dev/null
+++ b/proxy/src/test/java/org/pollenspar/proxy/request/CallerHandlerTest.java
@@ -0,0 +1,85 @@
+package org.pollenspar.proxy.request;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.codahale.metrics.MetricRegistry;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.pollenspar.core.connection.SessionToken;
+import org.pollenspar.core.connection.TokenCodec;
+import org.pollenspar.core.process.HostList;
+import org.pollenspar.core.version.FleetFile;
+import org.pollenspar.core.version.FleetVersion;
+import org.pollenspar.net.process.ControlThread;
+import org.pollenspar.net.request.HttpCall;
+import org.pollenspar.net.request.HttpReply;
+import org.pollenspar.proxy.process.Fleet;
+
+/** Guards against callers that are told too much or too little by a refusal at the entry. */
+class CallerHandlerTest {
+  private static final FleetFile EMPTY_FILE =
+      new FleetFile("test", Map.of(), Map.of(), Map.of(), 24, 32);
+
+  private final ControlThread control = new ControlThread("control", e -> {});
+  private final TokenCodec codec =
+      new TokenCodec("0123456789abcdef0123456789abcdef".getBytes(StandardCharsets.UTF_8));
+
+  @AfterEach
+  void close() {
+    control.close();
+  }
+
+  private HttpReply post(Optional<FleetVersion> version, String body) {
+    CallerHandler handler =
+        new CallerHandler(
+            () -> new Fleet(version, HostList.EMPTY),
+            Optional::empty,
+            new WorkParser(codec, () -> "generated"),
+            new AnswerWriter(codec),
+            null,
+            control,
+            new EntryMeters(new MetricRegistry()),
+            () -> "session",
+            Runnable::run);
+    return handler
+        .handle(new HttpCall("POST", "/v1/work", Map.of(), body))
+        .toCompletableFuture()
+        .join();
+  }
+
+  /**
+   * A caller whose first attempt may have committed was told "not run" when the proxy it asked next
+   * had no configuration yet, or when the kind of work had been removed meanwhile.
+   */
+  @Nested
+  class BeforeTheKeyIsLookedUp {
+
+    @ParameterizedTest
+    @CsvSource({
+      "false, false, 503, not_run",
+      "false, true, 504, unknown",
+      "true, false, 404, not_run",
+      "true, true, 504, unknown",
+    })
+    void refusalsOfRetriesLeaveTheOutcomeOpen(
+        boolean configured, boolean retry, int status, String outcome) {
+      Optional<FleetVersion> version =
+          configured ? Optional.of(new FleetVersion(1, EMPTY_FILE)) : Optional.empty();
+      String body =
+          "{\"session\": \""
+              + codec.encode(new SessionToken("session", Map.of()))
+              + "\", \"group\": \"g\", \"kind\": \"removed\", \"key\": \"k\", \"retry\": "
+              + retry
+              + ", \"statements\": [{\"sql\": \"DELETE FROM t\"}]}";
+      HttpReply reply = post(version, body);
+      assertEquals(status, reply.status(), reply.body());
+      assertTrue(reply.body().contains("\"outcome\":\"" + outcome + "\""), reply.body());
+    }
+  }
+}
