core: the queue recovers after a failure and drops work that cannot end

Cause: requests at a frozen database end at their deadline, so the smoothed service time of their rank rises above the deadline. Every offer was then refused as unreachable, and since nothing ran, the time was never measured again: after 200 timeouts an idle queue accepted 0 of 400 requests. Ruled out: a decay over time, which would admit a burst into a database that is still slow; leaving timeouts out of the smoothed time, which would hide a slow database. Change: the service time counts against a deadline only while others of the rank wait; work at the head that cannot end in time is dropped before it runs if others wait behind it.

--- a/core/src/main/java/org/pollenspar/core/request/RankedAdmissionQueue.java
+++ b/core/src/main/java/org/pollenspar/core/request/RankedAdmissionQueue.java
@@ -59,6 +59,15 @@
       return rank.floorPercent() / PERCENT;
     }
 
+    /**
+     * Returns the service time that a request must still have before its deadline; 0 if none of the
+     * rank waits. A failure can raise the smoothed time above every deadline, and only a request
+     * that runs lowers it again, so one is let through.
+     */
+    double neededNanos() {
+      return line.length() == 0 ? 0 : service.nanos();
+    }
+
     double queuedNanos() {
       return line.length() * service.nanos();
     }
@@ -101,7 +110,7 @@
     if (lane.line.length() >= lane.rank.queueLimit()) {
       return refused(ErrorKind.QUEUE_FULL, wait, wait);
     }
-    double excess = WAIT_MARGIN * wait + lane.service.nanos() - (deadlineNanos - nowNanos);
+    double excess = WAIT_MARGIN * wait + lane.neededNanos() - (deadlineNanos - nowNanos);
     if (excess > 0) {
       return refused(ErrorKind.DEADLINE_UNREACHABLE, wait, excess);
     }
@@ -156,7 +165,7 @@
 
   @Override
   public Optional<T> poll(long nowNanos) {
-    lanes.forEach(lane -> lane.line.trim(nowNanos, expired));
+    lanes.forEach(lane -> lane.line.trim(nowNanos, (long) lane.service.nanos(), expired));
     @Nullable Lane<T> next = next(nowNanos);
     if (next == null) {
       return Optional.empty();
--- a/core/src/main/java/org/pollenspar/core/request/SingleAdmissionQueue.java
+++ b/core/src/main/java/org/pollenspar/core/request/SingleAdmissionQueue.java
@@ -45,7 +45,7 @@
 
   @Override
   public Optional<T> poll(long nowNanos) {
-    line.trim(nowNanos, expired);
+    line.trim(nowNanos, 0, expired);
     return line.removeFirst().map(WaitingLine.Entry::item);
   }
 
--- a/core/src/main/java/org/pollenspar/core/request/WaitingLine.java
+++ b/core/src/main/java/org/pollenspar/core/request/WaitingLine.java
@@ -39,10 +39,17 @@
     return (int) entries.stream().filter(entry -> entry.rank.level() == rank.level()).count();
   }
 
-  /** Moves expired requests at the head to {@code expired}. */
-  void trim(long nowNanos, List<T> expired) {
+  /**
+   * Moves requests at the head that are expired or cannot end in time to {@code expired}. The last
+   * one stays until it is expired, so that the service time goes on being measured.
+   *
+   * @param serviceNanos expected time of service
+   */
+  void trim(long nowNanos, long serviceNanos, List<T> expired) {
     @Nullable Entry<T> head = entries.peekFirst();
-    while (head != null && head.expired(nowNanos)) {
+    while (head != null
+        && (head.expired(nowNanos)
+            || (entries.size() > 1 && head.expired(nowNanos + serviceNanos)))) {
       expired.add(entries.removeFirst().item);
       head = entries.peekFirst();
     }
