core: attempts to replace a leaving primary become rare

Cause: with every host of a group leaving, or with the only replica that stays too far behind, agents promoted the leaving primary again and again; each promotion stops the group's writes for a moment. Found by reading. Ruled out: counting only one's own promotions, which left 10 in 60 s with two agents, since each backed off by itself.

--- a/core/src/main/java/org/pollenspar/core/process/FailoverPolicy.java
+++ b/core/src/main/java/org/pollenspar/core/process/FailoverPolicy.java
@@ -53,6 +53,9 @@
   private int unconfirmed;
   private long term;
   private Optional<String> chosen = Optional.empty();
+  private long leavingTerm;
+  private long leavingPauseNanos;
+  private long replaceLeavingFrom;
 
   /**
    * Creates the policy of one group.
@@ -64,6 +67,8 @@
     this.groupSize = groupSize;
     this.timing = timing;
     this.idleUntil = nowNanos;
+    this.leavingPauseNanos = timing.settleNanos();
+    this.replaceLeavingFrom = nowNanos;
   }
 
   /** Sets this agent's place in the group's order of agents; 0 is first. */
@@ -144,7 +149,7 @@
       return states.isEmpty() ? Optional.empty() : Optional.of(SuspicionCause.NO_PRIMARY);
     }
     String id = primary.get().databaseId();
-    if (leaving.contains(id)) {
+    if (leavingAndReplaceable(primary.get(), states.keySet(), nowNanos)) {
       return Optional.of(SuspicionCause.LEAVING);
     }
     if (unreachable(fresh, id)) {
@@ -155,6 +160,25 @@
     return stalled ? Optional.of(SuspicionCause.NOT_REPLICATING) : Optional.empty();
   }
 
+  /**
+   * Returns whether the primary's host leaves and an attempt to replace it is due. If the leaving
+   * primary was promoted again, by whichever agent, it was the only one that held every
+   * acknowledged write; each attempt stops the group's writes for a moment, so the pause doubles.
+   */
+  private boolean leavingAndReplaceable(DatabaseState primary, Set<String> known, long nowNanos) {
+    if (!leaving.contains(primary.databaseId())) {
+      leavingTerm = 0;
+      leavingPauseNanos = timing.settleNanos();
+      return false;
+    }
+    if (leavingTerm != 0 && primary.logTerm() > leavingTerm) {
+      leavingPauseNanos = Math.min(2 * leavingPauseNanos, timing.maxLeavingPauseNanos());
+      replaceLeavingFrom = nowNanos + leavingPauseNanos;
+    }
+    leavingTerm = primary.logTerm();
+    return nowNanos - replaceLeavingFrom >= 0 && !leaving.containsAll(known);
+  }
+
   /** A home that reaches no database of the group is cut off itself and has no vote. */
   private boolean unreachable(List<VantageReport> fresh, String id) {
     List<VantageReport> voters =
--- a/core/src/test/java/org/pollenspar/core/process/FailoverPolicyTest.java
+++ b/core/src/test/java/org/pollenspar/core/process/FailoverPolicyTest.java
@@ -74,6 +74,26 @@
       assertNotEquals(Optional.of("a"), model.leader());
     }
 
+    /** Each promotion stops writes for a moment; without a host that stays none of them helps. */
+    @Test
+    void primaryStaysIfEveryHostLeaves() {
+      FailoverModel model = new FailoverModel(7, 2);
+      model.run(5 * SECOND);
+      model.leaving.addAll(List.of("a", "b", "c"));
+      model.run(60 * SECOND);
+      assertEquals(0, model.promotions.size());
+    }
+
+    @Test
+    void attemptsToReplaceALeavingPrimaryBecomeRare() {
+      FailoverModel model = new FailoverModel(8, 2);
+      model.run(5 * SECOND);
+      model.leaving.addAll(List.of("a", "b"));
+      model.database("c").lagging = true;
+      model.run(65 * SECOND);
+      assertTrue(model.promotions.size() <= 8, "promotions " + model.promotions);
+    }
+
     @Test
     void secondAgentActsWhenTheFirstIsPaused() {
       FailoverModel model = new FailoverModel(6, 2);
--- a/failover/src/main/java/org/pollenspar/failover/process/FailoverSteps.java
+++ b/failover/src/main/java/org/pollenspar/failover/process/FailoverSteps.java
@@ -22,8 +22,8 @@
 /** The calls of a failover, each on a blocking thread with its answer on the control thread. */
 final class FailoverSteps {
   private static final Duration SUMMARY_TIMEOUT = Duration.ofMillis(500);
-  private static final Duration FENCE_TIMEOUT = Duration.ofMillis(1000);
-  private static final Duration PROMOTE_TIMEOUT = Duration.ofMillis(1000);
+  private static final Duration FENCE_TIMEOUT = Duration.ofSeconds(1);
+  private static final Duration PROMOTE_TIMEOUT = Duration.ofSeconds(1);
 
   /** An outage of the key-value service costs a failover this much and no more. */
   private static final Duration LEASE_WAIT = Duration.ofMillis(300);
@@ -59,6 +59,7 @@
     return new GroupSummary(status.term(), status.primary(), unreachable);
   }
 
+  @SuppressWarnings("FutureReturnValueIgnored") // failures become answers before the last stage
   void takeLease(Consumer<LeaseAnswer> answer) {
     CompletableFuture<LeaseAnswer> lease =
         CompletableFuture.supplyAsync(this::leaseAnswer, context.blocking());
@@ -149,6 +150,7 @@
     context.timeline().record(event, group, "term " + term + ": " + error.message());
   }
 
+  @SuppressWarnings("FutureReturnValueIgnored") // failures become answers before the last stage
   private <T> void run(Supplier<T> call, T onFailure, Consumer<T> answer) {
     CompletableFuture.supplyAsync(call, context.blocking())
         .exceptionally(failure -> onFailure)
--- a/failover/src/main/java/org/pollenspar/failover/process/GroupWatch.java
+++ b/failover/src/main/java/org/pollenspar/failover/process/GroupWatch.java
@@ -75,6 +75,7 @@
     recordSuspicion();
   }
 
+  @SuppressWarnings("FutureReturnValueIgnored") // the last stage handles the failure itself
   private void ask(Host home) {
     context.count("report_requests");
     Envelope.Builder request =
--- a/load/src/main/java/org/pollenspar/load/capacity/CapacityReport.java
+++ b/load/src/main/java/org/pollenspar/load/capacity/CapacityReport.java
@@ -102,7 +102,7 @@
           String.format(
               Locale.ROOT,
               "<circle cx=\"%.1f\" cy=\"%.1f\" r=\"3\" fill=\"#c33\"/>%n",
-              plotX(point.size(), maxX),
+              plotX((double) point.size(), maxX),
               plotY(point.value(), maxY)));
     }
     return svg.append("</g>").toString();
