Use the usual spelling in comments

Cause: reading as a newcomer found "for ever" and "walked back" in comments. Change: forever, rolled back. No behaviour changes.

--- a/core/src/main/java/org/pollenspar/core/connection/GroupTracker.java
+++ b/core/src/main/java/org/pollenspar/core/connection/GroupTracker.java
@@ -41,7 +41,7 @@
  *
  * <p>A log that includes (t, p) by {@link Position#includes} has term t, and then reaches at least
  * q, or a later term, and then holds every acknowledged write at its offset. Without confirmation
- * the claim fails: a cut-off primary that believes it leads samples its own old log for ever. All
+ * the claim fails: a cut-off primary that believes it leads samples its own old log forever. All
  * times are of this process's clock, so no clocks of two hosts are compared.
  */
 public final class GroupTracker {
--- a/core/src/test/java/org/pollenspar/core/request/AdmissionRecoveryTest.java
+++ b/core/src/test/java/org/pollenspar/core/request/AdmissionRecoveryTest.java
@@ -9,7 +9,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
-/** Guards against a queue that refuses for ever what it measured during a failure. */
+/** Guards against a queue that refuses forever what it measured during a failure. */
 class AdmissionRecoveryTest {
   private static final long MILLI = 1_000_000L;
   private static final long DEADLINE = 800 * MILLI;
--- a/proxy/src/test/java/org/pollenspar/proxy/request/ForwarderTest.java
+++ b/proxy/src/test/java/org/pollenspar/proxy/request/ForwarderTest.java
@@ -181,7 +181,7 @@
     }
   }
 
-  /** Answers by a script, and then with one failure for ever. */
+  /** Answers by a script, and then with one failure forever. */
   private static final class ScriptedPeers implements PeerNetwork {
     final Deque<CompletableFuture<Envelope>> script = new ArrayDeque<>();
     final List<Boolean> retryFlags = new ArrayList<>();
--- a/standin/src/main/java/org/pollenspar/standin/process/Replication.java
+++ b/standin/src/main/java/org/pollenspar/standin/process/Replication.java
@@ -14,7 +14,7 @@
  * Pushes the log of a primary to its replicas, asynchronously, one thread per replica. Each replica
  * states in its answers how long entries are to be held back, which models its lag.
  *
- * <p>A replica whose log differs is walked back entry by entry until the logs agree; it undoes the
+ * <p>A replica whose log differs is rolled back entry by entry until the logs agree; it undoes the
  * rest. A primary that is refused because of a newer term goes on trying, as it cannot know better.
  */
 final class Replication implements AutoCloseable {
--- a/standin/src/test/java/org/pollenspar/standin/process/PlatformStandinTest.java
+++ b/standin/src/test/java/org/pollenspar/standin/process/PlatformStandinTest.java
@@ -186,7 +186,7 @@
     }
   }
 
-  /** Guards against a list that does not lag, or lags for ever. */
+  /** Guards against a list that does not lag, or lags forever. */
   @Nested
   class Hosts {
     @Test
