--- a/failover/src/main/java/org/pollenspar/failover/process/FailoverSteps.java
+++ b/failover/src/main/java/org/pollenspar/failover/process/FailoverSteps.java
@@ -92,7 +92,9 @@
         result -> result.applied() ? LeaseAnswer.GRANTED : LeaseAnswer.HELD_BY_OTHER);
   }
 
+  /** Records the order before the call, so that the time line shows it before its effects. */
   void fence(long term, Consumer<List<DatabaseState>> answer) {
+    context.timeline().record("fence_ordered", group, "term " + term);
     this.<List<DatabaseState>>run(
         () -> {
           var fenced = context.groups().fence(group, term, context.agentId(), FENCE_TIMEOUT);
@@ -127,7 +129,9 @@
     return states.stream().map(DatabaseState::databaseId).toList();
   }
 
+  /** Records the order before the call; the homes often see the new primary before the answer. */
   void promote(long term, String databaseId, Consumer<Boolean> answer) {
+    context.timeline().record("promotion_ordered", group, databaseId + " in term " + term);
     run(
         () -> {
           var promoted =
