core: one comparison of two states of a database

Cause: reading the whole change found the same comparison in GroupTracker and FailoverPolicy, a field of the policy that only one method used, and an unused method of the test model. Ruled out: touching the repeated error handling in WriteSteps; its three round trips read better side by side. Change: DatabaseState.further serves both. On equal fence and position the policy now keeps the other report's state, as the tracker did; the two can differ only in the count of connections, which the policy does not read.

--- a/core/src/main/java/org/pollenspar/core/connection/DatabaseState.java
+++ b/core/src/main/java/org/pollenspar/core/connection/DatabaseState.java
@@ -28,4 +28,15 @@
   public boolean leads() {
     return role == DatabaseRole.PRIMARY && fencedTerm <= logTerm;
   }
+
+  /**
+   * Returns the later of two states of one database whose order is not known: its fence and the
+   * position within a term only grow.
+   */
+  public DatabaseState further(DatabaseState other) {
+    if (fencedTerm != other.fencedTerm) {
+      return fencedTerm > other.fencedTerm ? this : other;
+    }
+    return position().compareTo(other.position()) > 0 ? this : other;
+  }
 }
--- a/core/src/main/java/org/pollenspar/core/connection/GroupTracker.java
+++ b/core/src/main/java/org/pollenspar/core/connection/GroupTracker.java
@@ -100,7 +100,7 @@
     if (fresh.sentNanos - known.receivedNanos >= 0) {
       return fresh;
     }
-    DatabaseState further = further(known.state, fresh.state);
+    DatabaseState further = known.state.further(fresh.state);
     boolean freshSentLast = fresh.sentNanos - known.sentNanos >= 0;
     boolean freshReceivedLast = fresh.receivedNanos - known.receivedNanos >= 0;
     return new Answer(
@@ -109,13 +109,6 @@
         freshReceivedLast ? fresh.receivedNanos : known.receivedNanos);
   }
 
-  private static DatabaseState further(DatabaseState a, DatabaseState b) {
-    if (a.fencedTerm() != b.fencedTerm()) {
-      return a.fencedTerm() > b.fencedTerm() ? a : b;
-    }
-    return a.position().compareTo(b.position()) > 0 ? a : b;
-  }
-
   private void confirm(long term) {
     List<Long> sent =
         answers.values().stream()
--- a/core/src/main/java/org/pollenspar/core/process/FailoverPolicy.java
+++ b/core/src/main/java/org/pollenspar/core/process/FailoverPolicy.java
@@ -52,7 +52,6 @@
   private OptionalLong behindSince = OptionalLong.empty();
   private int unconfirmed;
   private long term;
-  private Optional<String> chosen = Optional.empty();
   private long leavingTerm;
   private long leavingPauseNanos;
   private long replaceLeavingFrom;
@@ -211,19 +210,12 @@
     Map<String, DatabaseState> states = new HashMap<>();
     for (VantageReport report : freshReports(nowNanos)) {
       for (ObservedDatabase database : report.databases()) {
-        states.merge(database.state().databaseId(), database.state(), FailoverPolicy::further);
+        states.merge(database.state().databaseId(), database.state(), DatabaseState::further);
       }
     }
     return states;
   }
 
-  private static DatabaseState further(DatabaseState a, DatabaseState b) {
-    if (a.fencedTerm() != b.fencedTerm()) {
-      return a.fencedTerm() > b.fencedTerm() ? a : b;
-    }
-    return a.position().compareTo(b.position()) >= 0 ? a : b;
-  }
-
   private static Optional<DatabaseState> leader(Collection<DatabaseState> states) {
     long highest =
         states.stream().mapToLong(s -> Math.max(s.logTerm(), s.fencedTerm())).max().orElse(0);
@@ -273,7 +265,7 @@
    */
   public FailoverAction fenced(List<DatabaseState> fenced, long nowNanos) {
     expect(Step.FENCING);
-    chosen = PromotionChoice.choose(fenced, groupSize, leaving);
+    Optional<String> chosen = PromotionChoice.choose(fenced, groupSize, leaving);
     if (chosen.isEmpty()) {
       return retry(nowNanos);
     }
--- a/core/src/test/java/org/pollenspar/core/process/FailoverModel.java
+++ b/core/src/test/java/org/pollenspar/core/process/FailoverModel.java
@@ -11,7 +11,6 @@
 import java.util.TreeMap;
 import org.pollenspar.core.connection.DatabaseRole;
 import org.pollenspar.core.connection.DatabaseState;
-import org.pollenspar.core.connection.Position;
 
 /**
  * One group of three databases, its platform, three homes and several agents on fake time. Answers
@@ -301,8 +300,4 @@
     primary = id;
     return true;
   }
-
-  Position position(String id) {
-    return database(id).state().position();
-  }
 }
