Edge process on the platform: sessions, epoch, duty, translation

Cause: the product took whole transactions by HTTP only and had a separate failover program. New: session state machine, lanes to databases, authority over primaries, duty of replacing them (core); process on one event loop (edge); translation (platform).

--- /dev/null
+++ b/core/src/main/java/org/pollenspar/core/connection/LinkQueue.java
@@ -0,0 +1,62 @@
+package org.pollenspar.core.connection;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+
+/** Requests that wait for a connection: the most urgent rank first, in order of arrival within. */
+final class LinkQueue {
+  private final Map<Integer, ArrayDeque<LinkRequest>> lines = new TreeMap<>();
+  private int length;
+
+  void add(LinkRequest request) {
+    lines.computeIfAbsent(request.priority(), key -> new ArrayDeque<>()).addLast(request);
+    length++;
+  }
+
+  @Nullable LinkRequest poll() {
+    for (ArrayDeque<LinkRequest> line : lines.values()) {
+      @Nullable LinkRequest first = line.pollFirst();
+      if (first != null) {
+        length--;
+        return first;
+      }
+    }
+    return null;
+  }
+
+  boolean remove(LinkRequest request) {
+    @Nullable ArrayDeque<LinkRequest> line = lines.get(request.priority());
+    if (line == null || !line.remove(request)) {
+      return false;
+    }
+    length--;
+    return true;
+  }
+
+  /** Returns how many requests a newcomer of a rank would wait for. */
+  int ahead(int priority) {
+    int count = 0;
+    for (Map.Entry<Integer, ArrayDeque<LinkRequest>> line : lines.entrySet()) {
+      if (line.getKey() <= priority) {
+        count += line.getValue().size();
+      }
+    }
+    return count;
+  }
+
+  int length() {
+    return length;
+  }
+
+  List<LinkRequest> drain() {
+    List<LinkRequest> all = new ArrayList<>();
+    lines.values().forEach(all::addAll);
+    lines.clear();
+    length = 0;
+    return all;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/pollenspar/core/connection/SessionContext.java
@@ -0,0 +1,24 @@
+package org.pollenspar.core.connection;
+
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+import org.pollenspar.core.process.Clocks;
+import org.pollenspar.core.process.Timers;
+import org.pollenspar.core.version.RouteTable;
+
+/**
+ * What all sessions of a process share.
+ *
+ * @param routes the configuration in force
+ * @param groups traffic of a group by name; null if the group is unknown
+ * @param clocks time
+ * @param timers delayed tasks on the owning thread
+ * @param decisions receives each decision about a statement
+ */
+public record SessionContext(
+    Supplier<RouteTable> routes,
+    Function<String, @Nullable GroupTraffic> groups,
+    Clocks clocks,
+    Timers timers,
+    DecisionListener decisions) {}
--- /dev/null
+++ b/core/src/main/java/org/pollenspar/core/process/EpochKeeper.java
@@ -0,0 +1,188 @@
+package org.pollenspar.core.process;
+
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Keeps this host registered and its {@link Confirmation} young.
+ *
+ * <p>All members share one lease, named by the epoch key. Whoever begins to replace a primary first
+ * writes that into the table and then ends the lease. So a renewal that succeeds proves that, when
+ * it was sent, no change had begun that the table read before doesn't show. After a renewal that
+ * fails, the whole table is read again before the next one.
+ *
+ * <p>A proof counts only while this host is registered: members that are not registered are not
+ * asked to let go of a primary.
+ */
+public final class EpochKeeper {
+  /** Lifetime of the shared lease; outlasts any outage in which the store lets leases expire. */
+  private static final long EPOCH_TTL_MS = 120_000;
+
+  private static final long RENEWAL_MS = 2_000;
+  private static final long RETRY_MS = 300;
+
+  private final CoordinationStore store;
+  private final FleetTable table;
+  private final Confirmation confirmation;
+  private final Timers timers;
+  private final Member self;
+  private final ControlListener listener;
+  private final BooleanSupplier leaving;
+  private Timers.@Nullable Timer next;
+  private boolean loading;
+  private boolean loaded;
+  private long renewing;
+
+  /** Creates a keeper that does nothing before {@link #load}. */
+  public EpochKeeper(
+      CoordinationStore store,
+      FleetTable table,
+      Confirmation confirmation,
+      Timers timers,
+      Member self,
+      ControlListener listener,
+      BooleanSupplier leaving) {
+    this.store = store;
+    this.table = table;
+    this.confirmation = confirmation;
+    this.timers = timers;
+    this.self = self;
+    this.listener = listener;
+    this.leaving = leaving;
+  }
+
+  /** Returns whether the table was read at least once. */
+  public boolean loaded() {
+    return loaded;
+  }
+
+  /** Reads the whole table, registers this host if needed and renews the proof. */
+  public void load() {
+    if (loading) {
+      return;
+    }
+    loading = true;
+    store.range(
+        ControlKeys.PREFIX,
+        reply -> {
+          loading = false;
+          if (!reply.done()) {
+            schedule(RETRY_MS, this::load);
+            return;
+          }
+          if (!loaded) {
+            listener.changed("table_loaded", "store", reply.items().size() + " keys");
+          }
+          loaded = true;
+          table.load(reply.items(), reply.revision());
+          proceed();
+        });
+  }
+
+  /** Renews the proof with what the table shows now. */
+  public void proceed() {
+    if (!loaded) {
+      load();
+    } else if (!registered()) {
+      register();
+    } else if (table.epochLease() == 0) {
+      createEpoch();
+    } else {
+      renew(table.epochLease());
+    }
+  }
+
+  private boolean registered() {
+    return leaving.getAsBoolean() || self.equals(table.member(self.name()));
+  }
+
+  private void register() {
+    String key = ControlKeys.member(self.name());
+    store.transact(
+        List.of(),
+        List.of(new CoordinationStore.Put(key, ControlKeys.encode(self), 0)),
+        List.of(),
+        reply -> {
+          if (reply.done()) {
+            listener.changed("registered", self.name(), self.address());
+            load();
+          } else {
+            schedule(RETRY_MS, this::load);
+          }
+        });
+  }
+
+  /** Creates a new shared lease in place of one that ended. */
+  public void createEpoch() {
+    long revision = table.revision(ControlKeys.EPOCH);
+    store.grantLease(
+        EPOCH_TTL_MS,
+        granted -> {
+          if (!granted.done()) {
+            schedule(RETRY_MS, this::load);
+            return;
+          }
+          store.transact(
+              List.of(new CoordinationStore.Expectation(ControlKeys.EPOCH, revision)),
+              List.of(
+                  new CoordinationStore.Put(
+                      ControlKeys.EPOCH, ControlKeys.encodeEpoch(granted.lease()), 0)),
+              List.of(),
+              reply -> {
+                if (!reply.done()) {
+                  store.endLease(granted.lease(), ignored -> {});
+                }
+                load();
+              });
+        });
+  }
+
+  private void renew(long lease) {
+    if (renewing == lease) {
+      return;
+    }
+    renewing = lease;
+    Confirmation.Sent sent = confirmation.now();
+    store.keepLease(
+        lease,
+        reply -> {
+          if (renewing == lease) {
+            renewing = 0;
+          }
+          if (reply.done() && lease == table.epochLease() && registered()) {
+            confirmation.renewed(sent);
+            schedule(RENEWAL_MS, this::proceed);
+          } else if (reply.status() == CoordinationStore.Status.NOT_FOUND) {
+            epochEnded(lease);
+          } else {
+            schedule(RETRY_MS, this::proceed);
+          }
+        });
+  }
+
+  /** Reads the table again; replaces the lease if nobody else has done so after a while. */
+  private void epochEnded(long lease) {
+    store.range(
+        ControlKeys.PREFIX,
+        reply -> {
+          if (!reply.done()) {
+            schedule(RETRY_MS, this::load);
+            return;
+          }
+          table.load(reply.items(), reply.revision());
+          if (table.epochLease() == lease) {
+            createEpoch();
+          } else {
+            proceed();
+          }
+        });
+  }
+
+  private void schedule(long delayMillis, Runnable task) {
+    if (next != null) {
+      next.cancel();
+    }
+    next = timers.after(delayMillis, task);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/pollenspar/core/process/MemberSweep.java
@@ -0,0 +1,105 @@
+package org.pollenspar.core.process;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Takes members that are gone off the list, so that a change of a primary need not wait for them.
+ *
+ * <p>A member that does not answer for a time is first marked as suspended and the shared lease is
+ * ended: from then on it must register again before it can prove anything. Only after its last
+ * proof has run out is it removed. Until then every change still waits for it.
+ */
+final class MemberSweep {
+  private static final long PING_MS = 5_000;
+  private static final int MISSED_PINGS = 3;
+  private static final long REMOVE_AFTER_MS = Confirmation.VALID_MS + 2_000;
+
+  private final PrimaryChange.Context context;
+  private final Map<String, Integer> missed = new HashMap<>();
+  private final Map<String, Long> suspendedNanos = new HashMap<>();
+  private long lastNanos;
+  private boolean started;
+
+  MemberSweep(PrimaryChange.Context context) {
+    this.context = context;
+  }
+
+  void tick() {
+    long now = context.clocks().steadyNanos();
+    if (started && now - lastNanos < PING_MS * 1_000_000) {
+      return;
+    }
+    started = true;
+    lastNanos = now;
+    for (Member member : List.copyOf(context.table().members())) {
+      if (member.suspended()) {
+        removeIfExpired(member, now);
+      } else if (!member.name().equals(context.holder())) {
+        suspendedNanos.remove(member.name());
+        context.messages().ping(member, answered -> pinged(member, answered));
+      }
+    }
+  }
+
+  private void pinged(Member member, boolean answered) {
+    if (answered) {
+      missed.remove(member.name());
+    } else if (missed.merge(member.name(), 1, Integer::sum) >= MISSED_PINGS) {
+      missed.remove(member.name());
+      suspend(member);
+    }
+  }
+
+  private void suspend(Member member) {
+    String key = ControlKeys.member(member.name());
+    context
+        .store()
+        .transact(
+            List.of(new CoordinationStore.Expectation(key, context.table().revision(key))),
+            List.of(new CoordinationStore.Put(key, ControlKeys.encode(member.asSuspended()), 0)),
+            List.of(),
+            reply -> {
+              if (reply.done()) {
+                context.listener().changed("member_suspended", member.name(), "no answer to pings");
+                endEpoch(member);
+              }
+            });
+  }
+
+  private void endEpoch(Member member) {
+    context
+        .store()
+        .endLease(
+            context.table().epochLease(),
+            reply -> {
+              if (reply.done() || reply.status() == CoordinationStore.Status.NOT_FOUND) {
+                suspendedNanos.put(member.name(), context.clocks().steadyNanos());
+              }
+            });
+  }
+
+  private void removeIfExpired(Member member, long now) {
+    @Nullable Long since = suspendedNanos.get(member.name());
+    if (since == null) {
+      // Suspended by an earlier holder; when its proofs end isn't known here.
+      endEpoch(member);
+      return;
+    }
+    if (now - since < REMOVE_AFTER_MS * 1_000_000) {
+      return;
+    }
+    suspendedNanos.remove(member.name());
+    String key = ControlKeys.member(member.name());
+    context
+        .store()
+        .transact(
+            List.of(new CoordinationStore.Expectation(key, context.table().revision(key))),
+            List.of(),
+            List.of(key),
+            reply ->
+                context.listener().changed("member_removed", member.name(), "" + reply.status()));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/pollenspar/core/process/PrimaryChange.java
@@ -0,0 +1,362 @@
+package org.pollenspar.core.process;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.pollenspar.core.connection.Position;
+
+/**
+ * Replaces the primary of one group, step by step.
+ *
+ * <ol>
+ *   <li>Write the intention into the table, then end the shared lease, so that no host can prove
+ *       any more that nothing has begun.
+ *   <li>Ask each member to let go; wait out the proofs of those that don't answer.
+ *   <li>Step the old primary down if it answers, and let the replicas receive what it still has.
+ *   <li>Promote the most advanced database.
+ *   <li>Once it leads, write it into the table.
+ * </ol>
+ *
+ * <p>Invariant: no database is promoted while a host may use the old primary. Promoting first and
+ * revoking later would be faster by some hundred milliseconds but lets two primaries acknowledge.
+ */
+final class PrimaryChange {
+  /** Added to the lifetime of proofs, for clocks that differ and answers under way. */
+  private static final long PROOF_MARGIN_MS = 1_000;
+
+  private static final long REVOKE_RETRY_MS = 500;
+  private static final long CATCH_UP_MS = 1_500;
+  private static final long POLL_MS = 100;
+  private static final long LEAD_TIMEOUT_MS = 5_000;
+
+  /** What a change needs of the host that makes it. */
+  record Context(
+      CoordinationStore store,
+      FleetTable table,
+      DatabaseControl databases,
+      FleetMessages messages,
+      PromotionService promotions,
+      Timers timers,
+      Clocks clocks,
+      ControlListener listener,
+      String holder) {}
+
+  private final Context context;
+  private final PrimaryRecord old;
+  private final long fence;
+  private final long dutyRevision;
+  private final Consumer<Boolean> done;
+  private final Set<String> pending = new HashSet<>();
+  private final Map<String, DatabaseControl.DatabaseStatus> statuses = new HashMap<>();
+  private final long startedNanos;
+  private long intentRevision;
+  private long revokedNanos;
+  private boolean allReleased;
+  private boolean ended;
+
+  PrimaryChange(
+      Context context, PrimaryRecord old, long fence, long dutyRevision, Consumer<Boolean> done) {
+    this.context = context;
+    this.old = old;
+    this.fence = fence;
+    this.dutyRevision = dutyRevision;
+    this.done = done;
+    this.startedNanos = context.clocks().steadyNanos();
+  }
+
+  String group() {
+    return old.group();
+  }
+
+  void start(String reason) {
+    context
+        .listener()
+        .changed("change_started", group(), "primary " + old.database() + ": " + reason);
+    PrimaryRecord intent = new PrimaryRecord(group(), old.database(), old.term(), true, fence, 0);
+    write(
+        intent,
+        old.revision(),
+        reply -> {
+          intentRevision = reply.revision();
+          endEpoch();
+        });
+  }
+
+  /** Writes a record if neither it nor the duty changed; ends the attempt otherwise. */
+  private void write(PrimaryRecord record, long expected, Consumer<CoordinationStore.Reply> next) {
+    String key = ControlKeys.primary(group());
+    context
+        .store()
+        .transact(
+            List.of(
+                new CoordinationStore.Expectation(key, expected),
+                new CoordinationStore.Expectation(ControlKeys.DUTY, dutyRevision)),
+            List.of(new CoordinationStore.Put(key, ControlKeys.encode(record), 0)),
+            List.of(),
+            reply -> {
+              if (reply.done()) {
+                next.accept(reply);
+              } else {
+                end(false, "the table could not be written: " + reply.status());
+              }
+            });
+  }
+
+  private void endEpoch() {
+    long lease = context.table().epochLease();
+    context
+        .store()
+        .endLease(
+            lease,
+            reply -> {
+              boolean over = reply.done() || reply.status() == CoordinationStore.Status.NOT_FOUND;
+              if (!over) {
+                end(false, "the shared lease could not be ended: " + reply.status());
+                return;
+              }
+              revokedNanos = context.clocks().steadyNanos();
+              readMembers();
+            });
+  }
+
+  /** Reads the members from the store: one that registered just now may not be known here yet. */
+  private void readMembers() {
+    context
+        .store()
+        .range(
+            ControlKeys.PREFIX,
+            reply -> {
+              if (!reply.done()) {
+                end(false, "the members could not be read: " + reply.status());
+                return;
+              }
+              context.table().load(reply.items(), reply.revision());
+              List<Member> members = List.copyOf(context.table().members());
+              members.forEach(member -> pending.add(member.name()));
+              members.forEach(this::revoke);
+              checkReleased();
+              context.timers().after(Confirmation.VALID_MS + PROOF_MARGIN_MS, this::checkReleased);
+            });
+  }
+
+  private void revoke(Member member) {
+    if (ended || allReleased || !pending.contains(member.name())) {
+      return;
+    }
+    if (context.table().revision(ControlKeys.member(member.name())) > intentRevision) {
+      // A later start registered after the intention was written, so it has read the intention.
+      released(member);
+      return;
+    }
+    context
+        .messages()
+        .revoke(
+            member,
+            group(),
+            intentRevision,
+            released -> {
+              if (released) {
+                released(member);
+              } else {
+                context.timers().after(REVOKE_RETRY_MS, () -> revoke(member));
+              }
+            });
+  }
+
+  private void released(Member member) {
+    pending.remove(member.name());
+    checkReleased();
+  }
+
+  private void checkReleased() {
+    if (ended || allReleased) {
+      return;
+    }
+    long waited = millisSince(revokedNanos);
+    boolean expired = waited >= Confirmation.VALID_MS + PROOF_MARGIN_MS;
+    if (pending.isEmpty() || expired) {
+      allReleased = true;
+      context
+          .listener()
+          .changed("group_released", group(), "after " + waited + " ms, silent " + pending);
+      stepDown();
+    }
+  }
+
+  private long millisSince(long nanos) {
+    return (context.clocks().steadyNanos() - nanos) / 1_000_000;
+  }
+
+  private void stepDown() {
+    context
+        .databases()
+        .stepDown(
+            group(),
+            old.database(),
+            old.term() + 1,
+            status -> {
+              @Nullable Position goal = status == null ? null : status.received();
+              collect(goal, context.clocks().steadyNanos());
+            });
+  }
+
+  /** Asks all databases for their positions until one has what the old primary has. */
+  private void collect(@Nullable Position goal, long sinceNanos) {
+    if (ended) {
+      return;
+    }
+    List<DatabaseControl.Candidate> asked = new ArrayList<>();
+    for (DatabaseControl.Candidate candidate : context.databases().candidates(group())) {
+      if (!candidate.draining() && !(candidate.id().equals(old.database()) && goal == null)) {
+        asked.add(candidate);
+      }
+    }
+    statuses.clear();
+    int[] open = {asked.size()};
+    if (open[0] == 0) {
+      context.timers().after(POLL_MS, () -> retryCollect(goal, sinceNanos));
+    }
+    for (DatabaseControl.Candidate candidate : asked) {
+      context
+          .databases()
+          .status(
+              group(),
+              candidate.id(),
+              status -> {
+                if (status != null) {
+                  statuses.put(candidate.id(), status);
+                }
+                open[0]--;
+                if (open[0] == 0) {
+                  choose(goal, sinceNanos);
+                }
+              });
+    }
+  }
+
+  private void retryCollect(@Nullable Position goal, long sinceNanos) {
+    if (millisSince(startedNanos) > 4 * LEAD_TIMEOUT_MS) {
+      end(false, "no database of the group can be promoted");
+    } else {
+      collect(goal, sinceNanos);
+    }
+  }
+
+  private void choose(@Nullable Position goal, long sinceNanos) {
+    @Nullable String best = null;
+    for (Map.Entry<String, DatabaseControl.DatabaseStatus> each : statuses.entrySet()) {
+      boolean replaced = each.getKey().equals(old.database());
+      if (each.getValue().primary() && each.getValue().term() > old.term()) {
+        publish(each.getKey(), each.getValue().term());
+        return;
+      }
+      if (!replaced && (best == null || ahead(each.getKey(), best))) {
+        best = each.getKey();
+      }
+    }
+    DatabaseControl.@Nullable DatabaseStatus chosen = best == null ? null : statuses.get(best);
+    if (best == null || chosen == null) {
+      context.timers().after(POLL_MS, () -> retryCollect(goal, sinceNanos));
+      return;
+    }
+    boolean behind = goal != null && chosen.received().compareTo(goal) < 0;
+    if (behind && millisSince(sinceNanos) < CATCH_UP_MS) {
+      context.timers().after(POLL_MS / 2, () -> collect(goal, sinceNanos));
+      return;
+    }
+    context
+        .listener()
+        .changed("promoting", group(), best + " at " + chosen.received() + ", old at " + goal);
+    promote(best);
+  }
+
+  private boolean ahead(String one, String other) {
+    DatabaseControl.@Nullable DatabaseStatus first = statuses.get(one);
+    DatabaseControl.@Nullable DatabaseStatus second = statuses.get(other);
+    return first != null && second != null && first.received().compareTo(second.received()) > 0;
+  }
+
+  private void promote(String database) {
+    if (ended) {
+      return;
+    }
+    context
+        .promotions()
+        .promote(
+            group(),
+            database,
+            context.holder(),
+            fence,
+            outcome -> {
+              switch (outcome) {
+                case ACCEPTED -> awaitLead(database, context.clocks().steadyNanos());
+                case NOT_RUNNING -> retryCollect(null, context.clocks().steadyNanos());
+                default -> {
+                  if (millisSince(startedNanos) > 4 * LEAD_TIMEOUT_MS) {
+                    end(false, "the platform did not accept the promotion");
+                  } else {
+                    context.timers().after(POLL_MS, () -> promote(database));
+                  }
+                }
+              }
+            });
+  }
+
+  private void awaitLead(String database, long sinceNanos) {
+    if (ended) {
+      return;
+    }
+    context
+        .databases()
+        .status(
+            group(),
+            database,
+            status -> {
+              if (status != null && status.primary() && status.term() > old.term()) {
+                publish(database, status.term());
+              } else if (millisSince(sinceNanos) > LEAD_TIMEOUT_MS) {
+                retryCollect(null, context.clocks().steadyNanos());
+              } else {
+                context.timers().after(POLL_MS, () -> awaitLead(database, sinceNanos));
+              }
+            });
+  }
+
+  private void publish(String database, long term) {
+    write(
+        new PrimaryRecord(group(), database, term, false, fence, 0),
+        intentRevision,
+        reply -> {
+          context
+              .table()
+              .apply(
+                  new CoordinationStore.Item(
+                      ControlKeys.primary(group()),
+                      ControlKeys.encode(
+                          new PrimaryRecord(group(), database, term, false, fence, 0)),
+                      reply.revision(),
+                      false));
+          end(true, database + " leads term " + term);
+        });
+  }
+
+  /** Stops the change, for example because the duty was lost. */
+  void end(boolean success, String detail) {
+    if (ended) {
+      return;
+    }
+    ended = true;
+    context
+        .listener()
+        .changed(
+            success ? "primary_changed" : "change_failed",
+            group(),
+            detail + ", " + millisSince(startedNanos) + " ms");
+    done.accept(success);
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/org/pollenspar/edge/connection/FleetHandler.java
@@ -0,0 +1,32 @@
+package org.pollenspar.edge.connection;
+
+import java.util.function.Consumer;
+
+/** Answers requests of other members. Each callback is called exactly once. */
+public interface FleetHandler {
+  /** Lets go of a group's primary. */
+  void revoke(String group, long revision, Consumer<Boolean> done);
+
+  /** Says whether a database answers this host. */
+  void reaches(String group, String database, Consumer<Boolean> done);
+
+  /** Calls the platform for a host that the platform doesn't serve. */
+  void callPlatform(
+      String method, String path, byte[] body, int timeoutMillis, PlatformAnswer done);
+
+  /** Receives the platform's answer. */
+  interface PlatformAnswer {
+    /**
+     * The call ended.
+     *
+     * @param status HTTP status; {@link #NO_ANSWER} or {@link #NOT_SENT} without one
+     */
+    void ended(int status, byte[] body);
+  }
+
+  /** The call may have been executed. */
+  int NO_ANSWER = 0;
+
+  /** The call was certainly not executed. */
+  int NOT_SENT = -1;
+}
--- /dev/null
+++ b/edge/src/main/java/org/pollenspar/edge/connection/KeepAlive.java
@@ -0,0 +1,27 @@
+package org.pollenspar.edge.connection;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.nio.NioChannelOption;
+import jdk.net.ExtendedSocketOptions;
+
+/** Detects connections that went silent, by the operating system's probes. */
+public final class KeepAlive {
+  private static final int IDLE_SECONDS = 1;
+  private static final int INTERVAL_SECONDS = 1;
+  private static final int PROBES = 2;
+
+  private KeepAlive() {}
+
+  /** Enables probes on a TCP channel. */
+  public static void enable(Channel channel) {
+    channel.config().setOption(ChannelOption.SO_KEEPALIVE, true);
+    channel
+        .config()
+        .setOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), IDLE_SECONDS);
+    channel
+        .config()
+        .setOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), INTERVAL_SECONDS);
+    channel.config().setOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), PROBES);
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/org/pollenspar/edge/process/DatabaseDirectory.java
@@ -0,0 +1,79 @@
+package org.pollenspar.edge.process;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.pollenspar.core.connection.DatabaseEntry;
+import org.pollenspar.core.process.Timers;
+
+/**
+ * The registered databases by group.
+ *
+ * <p>A registration that lapsed may return when the store is back, so a database stays known for a
+ * grace time after its registration went.
+ */
+final class DatabaseDirectory {
+  /** Registrations of live databases return within 2 s of the store. */
+  static final long GRACE_MS = 2_500;
+
+  private final Timers timers;
+  private final Consumer<String> onGroup;
+  private final Map<String, DatabaseEntry> entries = new HashMap<>();
+  private final Map<String, Timers.Timer> removals = new HashMap<>();
+
+  DatabaseDirectory(Timers timers, Consumer<String> onGroup) {
+    this.timers = timers;
+    this.onGroup = onGroup;
+  }
+
+  void registered(DatabaseEntry entry) {
+    Timers.@Nullable Timer removal = removals.remove(entry.id());
+    if (removal != null) {
+      removal.cancel();
+    }
+    @Nullable DatabaseEntry known = entries.put(entry.id(), entry);
+    if (known != null && !known.group().equals(entry.group())) {
+      onGroup.accept(known.group());
+    }
+    if (!entry.equals(known)) {
+      onGroup.accept(entry.group());
+    }
+  }
+
+  void unregistered(String id) {
+    if (entries.containsKey(id) && !removals.containsKey(id)) {
+      removals.put(id, timers.after(GRACE_MS, () -> remove(id)));
+    }
+  }
+
+  /** Returns whether the database's registration stands. */
+  boolean present(String id) {
+    return entries.containsKey(id) && !removals.containsKey(id);
+  }
+
+  private void remove(String id) {
+    removals.remove(id);
+    @Nullable DatabaseEntry entry = entries.remove(id);
+    if (entry != null) {
+      onGroup.accept(entry.group());
+    }
+  }
+
+  Collection<String> ids() {
+    return List.copyOf(entries.keySet());
+  }
+
+  List<DatabaseEntry> of(String group) {
+    List<DatabaseEntry> result = new ArrayList<>();
+    for (DatabaseEntry entry : entries.values()) {
+      if (entry.group().equals(group)) {
+        result.add(entry);
+      }
+    }
+    return result;
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/org/pollenspar/edge/process/DecisionLog.java
@@ -0,0 +1,89 @@
+package org.pollenspar.edge.process;
+
+import org.jspecify.annotations.Nullable;
+import org.pollenspar.core.connection.DatabaseLane;
+import org.pollenspar.core.connection.DecisionListener;
+import org.pollenspar.core.connection.Position;
+import org.pollenspar.core.process.Clocks;
+import org.pollenspar.core.request.Answer;
+import org.pollenspar.core.request.AnswerCode;
+import org.pollenspar.core.request.SessionRequest;
+import org.pollenspar.core.version.Route;
+
+/**
+ * Logs and counts what was decided about statements.
+ *
+ * <p>Under load, lines are sampled: of each second, the first lines up to a limit are written,
+ * refusals have a limit of their own, and uncertain outcomes are always written. Counters count
+ * everything.
+ */
+final class DecisionLog implements DecisionListener {
+  private static final int SERVED_PER_SECOND = 2;
+  private static final int REFUSED_PER_SECOND = 20;
+  private static final long NANOS_PER_MILLI = 1_000_000;
+  private static final long SECOND_MS = 1_000;
+
+  private final EventLog log;
+  private final EdgeMetrics metrics;
+  private final Clocks clocks;
+  private long windowStartMillis;
+  private int served;
+  private int refused;
+
+  DecisionLog(EventLog log, EdgeMetrics metrics, Clocks clocks) {
+    this.log = log;
+    this.metrics = metrics;
+    this.clocks = clocks;
+  }
+
+  @Override
+  public void answered(
+      SessionRequest request,
+      @Nullable Route route,
+      @Nullable DatabaseLane lane,
+      int attempts,
+      Answer answer) {
+    long now = clocks.steadyNanos();
+    long tookMillis = (now - request.arrivedNanos()) / NANOS_PER_MILLI;
+    metrics.answered(route, answer.code(), tookMillis);
+    if (!sampled(answer.code(), now / NANOS_PER_MILLI)) {
+      return;
+    }
+    EventLog.Line line =
+        log.line("answered")
+            .text("request", request.id())
+            .text("statement", request.statement().getClass().getSimpleName())
+            .text("outcome", answer.code().name())
+            .number("took_ms", tookMillis)
+            .number("attempts", attempts);
+    if (route != null) {
+      line.text("route", route.name()).number("priority", route.priority());
+    }
+    if (lane != null) {
+      line.text("database", lane.entry().id())
+          .number("waiting", lane.waiting())
+          .number("connections", lane.connections())
+          .number("answer_age_ms", lane.answerAgeMillis());
+    }
+    @Nullable Position position = answer.position();
+    if (position != null) {
+      line.text("position", position.term() + "." + position.offset());
+    }
+    if (!answer.ok()) {
+      line.text("reason", answer.detail());
+    }
+    log.add(line);
+  }
+
+  private boolean sampled(AnswerCode code, long nowMillis) {
+    if (nowMillis - windowStartMillis >= SECOND_MS) {
+      windowStartMillis = nowMillis;
+      served = 0;
+      refused = 0;
+    }
+    if (code == AnswerCode.OK) {
+      return served++ < SERVED_PER_SECOND;
+    }
+    return !code.nothingRan() || refused++ < REFUSED_PER_SECOND;
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
@@ -0,0 +1,399 @@
+package org.pollenspar.edge.process;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
+import org.pollenspar.core.connection.CallerPort;
+import org.pollenspar.core.connection.CallerSession;
+import org.pollenspar.core.connection.DatabaseEntry;
+import org.pollenspar.core.connection.DatabaseLane;
+import org.pollenspar.core.connection.DatabaseLink;
+import org.pollenspar.core.connection.DatabaseProbe;
+import org.pollenspar.core.connection.GroupTraffic;
+import org.pollenspar.core.connection.SessionContext;
+import org.pollenspar.core.process.Clocks;
+import org.pollenspar.core.process.Confirmation;
+import org.pollenspar.core.process.ControlKeys;
+import org.pollenspar.core.process.CoordinationStore;
+import org.pollenspar.core.process.DatabaseControl;
+import org.pollenspar.core.process.EpochKeeper;
+import org.pollenspar.core.process.FleetMessages;
+import org.pollenspar.core.process.FleetTable;
+import org.pollenspar.core.process.Member;
+import org.pollenspar.core.process.PrimaryAuthority;
+import org.pollenspar.core.process.PrimaryDuty;
+import org.pollenspar.core.process.PromotionService;
+import org.pollenspar.core.process.Timers;
+import org.pollenspar.core.request.Answer;
+import org.pollenspar.core.request.DatabaseCommand;
+import org.pollenspar.core.version.RouteTable;
+
+/** The product on one edge host: sessions, traffic of each group, and the control state. */
+public final class EdgeNode implements DatabaseControl {
+  /** Part of a database's connection limit that hosts share; the rest is for restarts. */
+  private static final double SHARED_PART = 0.8;
+
+  private static final long RELEASE_LIMIT_MS = 400;
+  private static final long REACHED_MS = 700;
+  private static final long HOUSEKEEPING_MS = 2_000;
+  private static final long UNUSED_LINK_MS = 20_000;
+
+  /** Longest wait before taking a free duty, spread over the hosts by their names. */
+  private static final int TAKEOVER_SPREAD_MS = 400;
+
+  /**
+   * What a node needs from its surroundings.
+   *
+   * @param statusDecoder decodes the row of {@link DatabaseCommand.Status}; null if it can't
+   */
+  public record Surroundings(
+      Member self,
+      String domain,
+      Clocks clocks,
+      Timers timers,
+      CoordinationStore store,
+      FleetMessages messages,
+      PromotionService promotions,
+      DatabaseLink.Opener opener,
+      Function<String, DatabaseControl.@Nullable DatabaseStatus> statusDecoder,
+      EventLog log,
+      EdgeMetrics metrics) {}
+
+  private final Surroundings around;
+  private final PrimaryAuthority authority;
+  private final Confirmation confirmation;
+  private final FleetTable table;
+  private final EpochKeeper epoch;
+  private final PrimaryDuty duty;
+  private final DatabaseDirectory directory;
+  private final SessionContext context;
+  private final Map<String, GroupTraffic> groups = new HashMap<>();
+  private final Set<CallerSession> sessions = new HashSet<>();
+  private RouteTable routes = RouteTable.EMPTY;
+  private boolean leaving;
+
+  /** Creates a node that serves nothing before it has a configuration. */
+  public EdgeNode(Surroundings around) {
+    this.around = around;
+    this.confirmation = new Confirmation(around.clocks());
+    this.authority = new PrimaryAuthority(confirmation);
+    this.table = new FleetTable(authority);
+    this.epoch =
+        new EpochKeeper(
+            around.store(),
+            table,
+            confirmation,
+            around.timers(),
+            around.self(),
+            around.log(),
+            () -> leaving);
+    int spread = Math.floorMod(around.self().name().hashCode(), TAKEOVER_SPREAD_MS);
+    this.duty =
+        new PrimaryDuty(
+            around.store(),
+            table,
+            this,
+            around.messages(),
+            around.promotions(),
+            around.timers(),
+            around.clocks(),
+            around.log(),
+            around.self().name(),
+            authority,
+            epoch,
+            spread);
+    this.directory = new DatabaseDirectory(around.timers(), this::databasesChanged);
+    this.context =
+        new SessionContext(
+            () -> routes,
+            groups::get,
+            around.clocks(),
+            around.timers(),
+            new DecisionLog(around.log(), around.metrics(), around.clocks()));
+    table.listeners(this::updateShares, duty::onDutyChanged);
+    authority.onRevoked(this::primaryChanged);
+  }
+
+  /** Starts the control part. */
+  public void start() {
+    epoch.load();
+    around.timers().after(HOUSEKEEPING_MS, this::keepHouse);
+    around.metrics().gauge("sessions", sessions::size);
+    around.metrics().gauge("configuration_version", () -> routes.version());
+    around.metrics().gauge("confirmation_age_ms", confirmation::ageMillis);
+  }
+
+  private void keepHouse() {
+    for (GroupTraffic group : groups.values()) {
+      group.lanes().forEach(lane -> lane.closeUnused(UNUSED_LINK_MS));
+    }
+    if (epoch.loaded()) {
+      duty.onDutyChanged();
+    }
+    around.timers().after(HOUSEKEEPING_MS, this::keepHouse);
+  }
+
+  /** Returns the table of members and primaries. */
+  public FleetTable table() {
+    return table;
+  }
+
+  /** Reads the whole control table again. */
+  public void reload() {
+    epoch.load();
+  }
+
+  /** Takes over one change of the control table. */
+  public void controlChanged(CoordinationStore.Item item) {
+    if (!epoch.loaded()) {
+      return;
+    }
+    table.apply(item);
+    boolean own = item.key().equals(ControlKeys.member(around.self().name()));
+    if (item.key().equals(ControlKeys.EPOCH) || own) {
+      epoch.proceed();
+    }
+  }
+
+  /** Puts a configuration in force, unless it is older than the one in force. */
+  public void configure(RouteTable newRoutes) {
+    if (newRoutes.version() <= routes.version()) {
+      return;
+    }
+    around
+        .log()
+        .changed(
+            "configuration_in_force",
+            String.valueOf(newRoutes.version()),
+            newRoutes.routes().size() + " routes, before " + routes.version());
+    routes = newRoutes;
+    for (String group : newRoutes.groups().keySet()) {
+      if (!groups.containsKey(group)) {
+        GroupTraffic traffic =
+            new GroupTraffic(
+                group,
+                around.domain(),
+                authority,
+                around.opener(),
+                around.clocks(),
+                around.timers());
+        groups.put(group, traffic);
+        databasesChanged(group);
+      }
+    }
+    updateShares();
+  }
+
+  /** Takes over the registration of a database. */
+  public void databaseRegistered(DatabaseEntry entry) {
+    directory.registered(entry);
+  }
+
+  /** Notes that a registration went. */
+  public void databaseUnregistered(String id) {
+    directory.unregistered(id);
+  }
+
+  /** Notes all registrations that exist; others went. */
+  public void databasesLoaded(Set<String> present) {
+    for (String id : directory.ids()) {
+      if (!present.contains(id)) {
+        directory.unregistered(id);
+      }
+    }
+  }
+
+  private void databasesChanged(String group) {
+    @Nullable GroupTraffic traffic = groups.get(group);
+    if (traffic != null) {
+      traffic.databases(directory.of(group));
+      around.log().changed("databases_changed", group, directory.of(group).toString());
+    }
+  }
+
+  private void updateShares() {
+    int members = Math.max(2, table.members().size());
+    for (GroupTraffic traffic : groups.values()) {
+      RouteTable.@Nullable Group group = routes.groups().get(traffic.group());
+      if (group != null) {
+        traffic.share((int) (SHARED_PART * group.maxConnections() / members));
+      }
+    }
+  }
+
+  private void primaryChanged(String group) {
+    @Nullable GroupTraffic traffic = groups.get(group);
+    if (traffic != null) {
+      traffic.primaryChanged();
+    }
+    around.log().changed("primary_known", group, String.valueOf(authority.record(group)));
+  }
+
+  /** Returns whether callers can be served. */
+  public boolean ready() {
+    return !leaving && configured() && confirmation.holds();
+  }
+
+  /** Returns whether a configuration is in force. */
+  public boolean configured() {
+    return routes.version() >= 0;
+  }
+
+  /** Returns whether a route has this database name. */
+  public boolean hasDatabase(String database) {
+    return routes.route(database) != null;
+  }
+
+  /** Opens a session. */
+  public CallerSession open(String database, CallerPort port) {
+    CallerSession session = new CallerSession(context, database, port);
+    sessions.add(session);
+    return session;
+  }
+
+  /** Forgets a session whose caller left. */
+  public void closed(CallerSession session) {
+    session.callerLeft();
+    sessions.remove(session);
+  }
+
+  /** Lets go of a group's primary because another host replaces it. */
+  public void revoke(String group, long revision, Consumer<Boolean> done) {
+    authority.revoke(group, revision);
+    boolean[] answered = {false};
+    Runnable release =
+        () -> {
+          if (!answered[0]) {
+            answered[0] = true;
+            authority.released(group);
+            done.accept(true);
+          }
+        };
+    authority.whenDrained(group, release);
+    around.timers().after(RELEASE_LIMIT_MS, release);
+  }
+
+  /** Says whether a database answers this host. */
+  public void reaches(String group, String database, Consumer<Boolean> done) {
+    @Nullable DatabaseLane lane = lane(group, database);
+    if (lane == null) {
+      done.accept(false);
+    } else if (lane.answerAgeMillis() >= 0 && lane.answerAgeMillis() < REACHED_MS) {
+      done.accept(true);
+    } else {
+      DatabaseProbe.run(
+          lane,
+          new DatabaseCommand.Status(),
+          around.clocks(),
+          around.timers(),
+          answer -> done.accept(answer != null));
+    }
+  }
+
+  private @Nullable DatabaseLane lane(String group, String database) {
+    @Nullable GroupTraffic traffic = groups.get(group);
+    return traffic == null ? null : traffic.lane(database);
+  }
+
+  /** Begins to leave: not ready any more; new sessions are still served. */
+  public void beginLeaving() {
+    leaving = true;
+    duty.stop();
+  }
+
+  /** Closes sessions as they become idle. */
+  public void closeIdleSessions() {
+    List.copyOf(sessions).forEach(CallerSession::closeWhenIdle);
+  }
+
+  /** Ends transactions that wait for their caller. */
+  public void endTransactions() {
+    List.copyOf(sessions).forEach(CallerSession::endTransaction);
+  }
+
+  /** Returns whether no session is left. */
+  public boolean drained() {
+    return sessions.isEmpty();
+  }
+
+  /** Takes this host off the list of members; its proofs are void from now on. */
+  public void unregister(Runnable done) {
+    confirmation.withdraw();
+    around
+        .store()
+        .transact(
+            List.of(),
+            List.of(),
+            List.of(ControlKeys.member(around.self().name())),
+            ignored -> done.run());
+  }
+
+  @Override
+  public Collection<String> groups() {
+    return routes.groups().keySet();
+  }
+
+  @Override
+  public Collection<Candidate> candidates(String group) {
+    List<Candidate> result = new ArrayList<>();
+    @Nullable GroupTraffic traffic = groups.get(group);
+    if (traffic != null) {
+      for (DatabaseLane lane : traffic.lanes()) {
+        DatabaseEntry entry = lane.entry();
+        if (directory.present(entry.id())) {
+          result.add(
+              new Candidate(entry.id(), entry.draining(), entry.primary(), lane.answerAgeMillis()));
+        }
+      }
+    }
+    return result;
+  }
+
+  @Override
+  public int syncReplicas(String group) {
+    RouteTable.@Nullable Group settings = routes.groups().get(group);
+    return settings == null ? 0 : settings.syncReplicas();
+  }
+
+  @Override
+  public void status(
+      String group, String database, Consumer<DatabaseControl.@Nullable DatabaseStatus> done) {
+    control(group, database, new DatabaseCommand.Status(), done);
+  }
+
+  @Override
+  public void stepDown(
+      String group,
+      String database,
+      long term,
+      Consumer<DatabaseControl.@Nullable DatabaseStatus> done) {
+    control(group, database, new DatabaseCommand.StepDown(term), done);
+  }
+
+  private void control(
+      String group,
+      String database,
+      DatabaseCommand command,
+      Consumer<DatabaseControl.@Nullable DatabaseStatus> done) {
+    @Nullable DatabaseLane lane = lane(group, database);
+    if (lane == null) {
+      done.accept(null);
+      return;
+    }
+    DatabaseProbe.run(
+        lane, command, around.clocks(), around.timers(), answer -> done.accept(decode(answer)));
+  }
+
+  private DatabaseControl.@Nullable DatabaseStatus decode(@Nullable Answer answer) {
+    return answer == null || answer.rows().isEmpty()
+        ? null
+        : around.statusDecoder().apply(answer.rows().get(0));
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/org/pollenspar/edge/process/SystemClocks.java
@@ -0,0 +1,16 @@
+package org.pollenspar.edge.process;
+
+import org.pollenspar.core.process.Clocks;
+
+/** The host's clocks. */
+public final class SystemClocks implements Clocks {
+  @Override
+  public long steadyNanos() {
+    return System.nanoTime();
+  }
+
+  @Override
+  public long wallMillis() {
+    return System.currentTimeMillis();
+  }
+}
