--- a/core/src/main/java/org/pollenspar/core/connection/SingleStatement.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SingleStatement.java
@@ -180,8 +180,15 @@
     if (answer.code() != AnswerCode.LOST) {
       group.observe(lane, answer, sentNanos);
     }
+    if (answer.code() == AnswerCode.NO_SUCH_STATEMENT) {
+      from.forgetNames();
+      sent = false;
+    }
     giveBack();
-    if (writes) {
+    if (writes && answer.code() == AnswerCode.NO_SUCH_STATEMENT) {
+      group.authority().writeEnded(group.group());
+      retryOr(answer.code(), answer.detail());
+    } else if (writes) {
       finishWrite(lane, answer, term);
       group.authority().writeEnded(group.group());
     } else if (!answer.ok()) {
@@ -209,11 +216,11 @@
   }
 
   private void readFailed(DatabaseLane lane, Answer answer) {
-    avoid.add(lane);
+    if (answer.code() != AnswerCode.NO_SUCH_STATEMENT) {
+      avoid.add(lane);
+    }
     if (answer.code() == AnswerCode.LAGGING) {
       lane.noteLagging();
-    } else if (answer.code() == AnswerCode.NO_SUCH_STATEMENT) {
-      avoid.remove(lane);
     }
     if (timedOut) {
       finish(AnswerCode.TIMED_OUT, "the statement exceeded the time limit of its route");
