--- /dev/null
+++ b/core/src/test/java/org/pollenspar/core/process/FleetModel.java
@@ -0,0 +1,495 @@
+package org.pollenspar.core.process;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+import org.pollenspar.core.connection.Position;
+
+/**
+ * One random history of a fleet: hosts with the real control classes, a store, three databases of
+ * one group, and faults of all of them.
+ *
+ * <p>Checked: no commit runs at a database after another was promoted and is reported as a success,
+ * and no read that is reported runs at a database that lacks a commit reported before it was sent.
+ */
+final class FleetModel {
+  /** Faults that are planted to see the checks fail. */
+  enum Planted {
+    NONE,
+    PROOFS_NEVER_EXPIRE,
+    MEMBERS_ARE_NOT_ASKED
+  }
+
+  static final String GROUP = "ledger";
+  private static final int HOSTS = 4;
+  private static final int HISTORY_MS = 60_000;
+
+  private final RandomGenerator random;
+  private final Planted planted;
+  private final FakeTime time = new FakeTime();
+  private final ModelStore store;
+  private final List<ModelHost> hosts = new ArrayList<>();
+  private final Map<String, ModelDatabase> databases = new TreeMap<>();
+  private long reportedCommits;
+  private String newestPrimary = "db0";
+  int promotions;
+  int commits;
+  int reads;
+  final List<String> violations = new ArrayList<>();
+
+  FleetModel(RandomGenerator random, Planted planted) {
+    this.random = random;
+    this.planted = planted;
+    this.store = new ModelStore(time, random);
+    for (int i = 0; i < 3; i++) {
+      databases.put("db" + i, new ModelDatabase("db" + i, i == 0));
+    }
+  }
+
+  /** Plays the history. */
+  void play() {
+    for (int i = 0; i < HOSTS; i++) {
+      ModelHost host = new ModelHost("host" + i);
+      hosts.add(host);
+      host.start();
+    }
+    scheduleFault();
+    time.advance(HISTORY_MS);
+  }
+
+  private void scheduleFault() {
+    time.after(500 + random.nextInt(4_000), this::fault);
+  }
+
+  private void fault() {
+    ModelHost host = hosts.get(random.nextInt(HOSTS));
+    ModelDatabase database = databases.get("db" + random.nextInt(3));
+    int length = 500 + random.nextInt(9_000);
+    switch (random.nextInt(8)) {
+      case 0 -> host.freeze(length, true);
+      case 1 -> host.freeze(length, false);
+      case 2 -> store.outage(length);
+      case 3 -> store.refuse(host.name, length);
+      case 4 -> host.cutFromPeers(length);
+      case 5 -> databases.get(newestPrimary).crash(length);
+      case 6 -> {
+        database.draining = true;
+        time.after(length, () -> database.draining = false);
+      }
+      default -> cut(host, databases.get(newestPrimary), length);
+    }
+    if (random.nextInt(6) == 0) {
+      store.loseAnswers(length);
+    }
+    scheduleFault();
+  }
+
+  /** Cuts a database from all hosts but one: the one that goes on using it is the danger. */
+  private void cut(ModelHost except, ModelDatabase database, int length) {
+    for (ModelHost host : hosts) {
+      if (host != except) {
+        host.unreachable.put(database.id, now() + length);
+      }
+    }
+  }
+
+  private long now() {
+    return time.steadyNanos() / 1_000_000;
+  }
+
+  /** A database of the group. */
+  private final class ModelDatabase {
+    final String id;
+    boolean primary;
+    boolean draining;
+    long term = 1;
+    long log;
+    long downUntil;
+
+    ModelDatabase(String id, boolean primary) {
+      this.id = id;
+      this.primary = primary;
+    }
+
+    boolean up() {
+      return now() >= downUntil;
+    }
+
+    void crash(int length) {
+      downUntil = now() + length;
+      time.after(
+          length,
+          () -> {
+            if (!id.equals(newestPrimary)) {
+              primary = false;
+            }
+          });
+    }
+
+    DatabaseControl.DatabaseStatus status() {
+      return new DatabaseControl.DatabaseStatus(primary, term, new Position(term, log));
+    }
+
+    /** Some hundred milliseconds after the call this database leads the next term. */
+    void promote() {
+      time.after(
+          300,
+          () -> {
+            if (primary && id.equals(newestPrimary)) {
+              return;
+            }
+            long next = databases.values().stream().mapToLong(each -> each.term).max().orElse(0);
+            term = next + 1;
+            primary = true;
+            // Asynchronous replication with nothing outstanding: only leading is modelled.
+            log = databases.values().stream().mapToLong(each -> each.log).max().orElse(0);
+            newestPrimary = id;
+            promotions++;
+          });
+    }
+  }
+
+  /** A host with the real control classes and a caller that writes and reads. */
+  private final class ModelHost implements Clocks, Timers, FleetMessages, DatabaseControl {
+    final String name;
+    final Map<String, Long> unreachable = new HashMap<>();
+    private final Confirmation confirmation = new Confirmation(this);
+    private final PrimaryAuthority authority;
+    private final FleetTable table;
+    private final EpochKeeper epoch;
+    private final PrimaryDuty duty;
+    private final CoordinationStore connection;
+    private final List<Runnable> frozen = new ArrayList<>();
+    private long frozenUntil;
+    private long suspended;
+    private long cutUntil;
+
+    ModelHost(String name) {
+      this.name = name;
+      this.connection = store.connection(name, this::deliver);
+      this.authority = new PrimaryAuthority(confirmation);
+      this.table = new FleetTable(authority);
+      Member self = new Member(name, name, name + "-1", false);
+      this.epoch =
+          new EpochKeeper(
+              connection, table, confirmation, this, self, (e, s, d) -> {}, () -> false);
+      this.duty =
+          new PrimaryDuty(
+              connection,
+              table,
+              this,
+              this,
+              this::promote,
+              this,
+              this,
+              (e, s, d) -> {},
+              name,
+              authority,
+              epoch,
+              random.nextInt(300));
+      table.listeners(() -> {}, duty::onDutyChanged);
+    }
+
+    void start() {
+      epoch.load();
+      watch(0);
+      after(random.nextInt(100), this::work);
+      after(1_000, this::house);
+    }
+
+    private void house() {
+      duty.onDutyChanged();
+      after(2_000, this::house);
+    }
+
+    private void watch(long revision) {
+      connection.watch(
+          ControlKeys.PREFIX,
+          revision,
+          reply -> {
+            if (reply.done() && epoch.loaded()) {
+              reply.items().forEach(table::apply);
+              epoch.proceed();
+            }
+            long next = reply.done() && epoch.loaded() ? reply.revision() : revision;
+            after(50, () -> watch(next));
+          });
+    }
+
+    /** Runs now, or when the host thaws. */
+    private void deliver(Runnable task) {
+      if (now() < frozenUntil) {
+        frozen.add(task);
+      } else {
+        task.run();
+      }
+    }
+
+    /** Stops the host; while suspended, its steady clock stops as well. */
+    void freeze(int length, boolean suspend) {
+      if (now() < frozenUntil) {
+        return;
+      }
+      frozenUntil = now() + length;
+      time.after(
+          length,
+          () -> {
+            suspended += suspend ? length : 0;
+            List<Runnable> all = new ArrayList<>(frozen);
+            frozen.clear();
+            all.forEach(Runnable::run);
+          });
+    }
+
+    void cutFromPeers(int length) {
+      cutUntil = now() + length;
+    }
+
+    private boolean cut() {
+      return now() < cutUntil;
+    }
+
+    @Override
+    public long steadyNanos() {
+      long stopped = now() < frozenUntil ? 0 : suspended;
+      return time.steadyNanos() - stopped * 1_000_000;
+    }
+
+    @Override
+    public long wallMillis() {
+      return planted == Planted.PROOFS_NEVER_EXPIRE ? 0 : time.wallMillis();
+    }
+
+    @Override
+    public Timer after(long delayMillis, Runnable task) {
+      boolean[] cancelled = {false};
+      Runnable unlessCancelled =
+          () -> {
+            if (!cancelled[0]) {
+              task.run();
+            }
+          };
+      time.after(delayMillis, () -> deliver(unlessCancelled));
+      return () -> cancelled[0] = true;
+    }
+
+    private int delay() {
+      return 1 + random.nextInt(5);
+    }
+
+    private void work() {
+      after(20 + random.nextInt(200), this::work);
+      String primary = authority.primary(GROUP);
+      PrimaryRecord record = authority.record(GROUP);
+      if (primary == null || record == null || !reachable(primary)) {
+        return;
+      }
+      ModelDatabase database = databases.get(primary);
+      if (random.nextBoolean()) {
+        commit(database, record.term());
+      } else {
+        read(database, record.term());
+      }
+    }
+
+    private boolean reachable(String database) {
+      return databases.get(database).up() && unreachable.getOrDefault(database, 0L) <= now();
+    }
+
+    private void commit(ModelDatabase database, long term) {
+      authority.writeStarted(GROUP);
+      time.after(
+          delay(),
+          () -> {
+            boolean ran = database.up() && database.primary;
+            boolean late = ran && !database.id.equals(newestPrimary);
+            long position = ran ? ++database.log : 0;
+            time.after(
+                delay(), () -> deliver(() -> committed(database, term, ran, late, position)));
+          });
+    }
+
+    private void committed(
+        ModelDatabase database, long term, boolean ran, boolean late, long position) {
+      if (ran && authority.mayReport(GROUP, database.id, term)) {
+        commits++;
+        if (late) {
+          violations.add(name + " reported a commit at replaced " + database.id);
+        } else {
+          reportedCommits = Math.max(reportedCommits, position);
+        }
+      }
+      authority.writeEnded(GROUP);
+    }
+
+    private void read(ModelDatabase database, long term) {
+      long needed = reportedCommits;
+      time.after(
+          delay(),
+          () -> {
+            boolean ran = database.up();
+            long seen = database.log;
+            time.after(
+                delay(),
+                () ->
+                    deliver(
+                        () -> {
+                          if (ran && authority.leads(GROUP, database.id, term)) {
+                            reads++;
+                            if (seen < needed) {
+                              violations.add(name + " read stale data at " + database.id);
+                            }
+                          }
+                        }));
+          });
+    }
+
+    private void promote(
+        String group,
+        String database,
+        String holder,
+        long fence,
+        Consumer<PromotionService.Outcome> done) {
+      int lateness = random.nextInt(10) == 0 ? random.nextInt(2_000) : delay();
+      time.after(
+          lateness,
+          () -> {
+            ModelDatabase target = databases.get(database);
+            boolean up = target.up();
+            if (up) {
+              target.promote();
+            }
+            PromotionService.Outcome outcome =
+                up ? PromotionService.Outcome.ACCEPTED : PromotionService.Outcome.NOT_RUNNING;
+            boolean lost = random.nextInt(10) == 0;
+            deliver(() -> done.accept(lost ? PromotionService.Outcome.RETRY : outcome));
+          });
+    }
+
+    private void ask(Member member, Consumer<ModelHost> request, Consumer<Boolean> done) {
+      ModelHost other =
+          hosts.stream().filter(each -> each.name.equals(member.name())).findFirst().orElseThrow();
+      boolean[] answered = {false};
+      after(
+          900,
+          () -> {
+            if (!answered[0]) {
+              answered[0] = true;
+              done.accept(false);
+            }
+          });
+      if (cut() || other.cut()) {
+        return;
+      }
+      time.after(
+          delay(),
+          () ->
+              other.deliver(
+                  () -> {
+                    request.accept(other);
+                    time.after(
+                        delay(),
+                        () ->
+                            deliver(
+                                () -> {
+                                  if (!answered[0]) {
+                                    answered[0] = true;
+                                    done.accept(true);
+                                  }
+                                }));
+                  }));
+    }
+
+    @Override
+    public void revoke(Member member, String group, long revision, Consumer<Boolean> done) {
+      if (planted == Planted.MEMBERS_ARE_NOT_ASKED) {
+        done.accept(true);
+        return;
+      }
+      ask(
+          member,
+          other -> {
+            other.authority.revoke(group, revision);
+            other.authority.released(group);
+          },
+          done);
+    }
+
+    @Override
+    public void ping(Member member, Consumer<Boolean> done) {
+      ask(member, other -> {}, done);
+    }
+
+    @Override
+    public void reaches(Member member, String group, String database, Consumer<Boolean> done) {
+      boolean[] reached = {false};
+      ask(
+          member,
+          other -> reached[0] = other.reachable(database),
+          ok -> done.accept(ok && reached[0]));
+    }
+
+    @Override
+    public Collection<String> groups() {
+      return List.of(GROUP);
+    }
+
+    @Override
+    public Collection<Candidate> candidates(String group) {
+      return databases.values().stream()
+          .map(each -> new Candidate(each.id, each.draining, each.primary, 1_000))
+          .toList();
+    }
+
+    @Override
+    public int syncReplicas(String group) {
+      return 0;
+    }
+
+    @Override
+    public void status(
+        String group, String database, Consumer<DatabaseControl.@Nullable DatabaseStatus> done) {
+      control(database, done, each -> {});
+    }
+
+    @Override
+    public void stepDown(
+        String group,
+        String database,
+        long term,
+        Consumer<DatabaseControl.@Nullable DatabaseStatus> done) {
+      control(
+          database,
+          done,
+          each -> {
+            if (each.term < term) {
+              each.primary = false;
+            }
+          });
+    }
+
+    private void control(
+        String database,
+        Consumer<DatabaseControl.@Nullable DatabaseStatus> done,
+        Consumer<ModelDatabase> action) {
+      ModelDatabase target = databases.get(database);
+      if (!reachable(database)) {
+        after(300, () -> done.accept(null));
+        return;
+      }
+      time.after(
+          delay(),
+          () -> {
+            action.accept(target);
+            DatabaseStatus status = target.status();
+            time.after(delay(), () -> deliver(() -> done.accept(status)));
+          });
+    }
+  }
+}
