core: a change needs the duty when it promotes; a suspension is no release

Both found by the fleet model, red before: (the suspension of an isolated member raised its revision, which counted as a later registration; the member still committed at the old primary) and (a holder that the store refused went on and promoted after the next holder had published). Ruled out: the length of proofs; both hosts' proofs were younger than 8 s. 300 histories green, planted faults red.

--- a/core/src/main/java/org/pollenspar/core/process/PrimaryChange.java
+++ b/core/src/main/java/org/pollenspar/core/process/PrimaryChange.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.pollenspar.core.connection.Position;
@@ -47,7 +48,8 @@
       Timers timers,
       Clocks clocks,
       ControlListener listener,
-      String holder) {}
+      String holder,
+      BooleanSupplier dutyHeld) {}
 
   private final Context context;
   private final PrimaryRecord old;
@@ -153,8 +155,7 @@
     if (ended || allReleased || !pending.contains(member.name())) {
       return;
     }
-    if (context.table().revision(ControlKeys.member(member.name())) > intentRevision) {
-      // A later start registered after the intention was written, so it has read the intention.
+    if (hasLetGo(member)) {
       released(member);
       return;
     }
@@ -173,6 +174,18 @@
             });
   }
 
+  /**
+   * Returns whether the table shows that a member's proofs are void. It registers again, after a
+   * start or a suspension, only with the intention before its eyes; it is removed only after its
+   * proofs have run out or when it leaves. Its suspension alone says nothing about its proofs.
+   */
+  private boolean hasLetGo(Member member) {
+    @Nullable Member now = context.table().member(member.name());
+    boolean registeredLater =
+        context.table().revision(ControlKeys.member(member.name())) > intentRevision;
+    return now == null || (registeredLater && !now.suspended());
+  }
+
   private void released(Member member) {
     pending.remove(member.name());
     checkReleased();
@@ -312,6 +325,10 @@
     if (ended) {
       return;
     }
+    if (!context.dutyHeld().getAsBoolean()) {
+      end(false, "the duty may have passed to another host");
+      return;
+    }
     context
         .promotions()
         .promote(
--- a/core/src/main/java/org/pollenspar/core/process/PrimaryDuty.java
+++ b/core/src/main/java/org/pollenspar/core/process/PrimaryDuty.java
@@ -70,7 +70,16 @@
       long takeoverDelayMillis) {
     this.context =
         new PrimaryChange.Context(
-            store, table, databases, messages, promotions, timers, clocks, listener, self);
+            store,
+            table,
+            databases,
+            messages,
+            promotions,
+            timers,
+            clocks,
+            listener,
+            self,
+            this::held);
     this.authority = authority;
     this.epoch = epoch;
     this.takeoverDelayMillis = takeoverDelayMillis;
--- a/core/src/test/java/org/pollenspar/core/process/FleetModel.java
+++ b/core/src/test/java/org/pollenspar/core/process/FleetModel.java
@@ -42,6 +42,9 @@
   int reads;
   final List<String> violations = new ArrayList<>();
 
+  /** What the hosts decided, for the analysis of a violation. */
+  final List<String> trace = new ArrayList<>();
+
   FleetModel(RandomGenerator random, Planted planted) {
     this.random = random;
     this.planted = planted;
@@ -70,7 +73,9 @@
     ModelHost host = hosts.get(random.nextInt(HOSTS));
     ModelDatabase database = databases.get("db" + random.nextInt(3));
     int length = 500 + random.nextInt(9_000);
-    switch (random.nextInt(9)) {
+    int kind = random.nextInt(9);
+    trace.add(now() + " fault " + kind + " at " + host.name + " for " + length);
+    switch (kind) {
       case 0 -> host.freeze(length, true);
       case 1 -> host.freeze(length, false);
       case 2 -> store.outage(length);
@@ -147,8 +152,7 @@
       this.table = new FleetTable(authority);
       Member self = new Member(name, name, name + "-1", false);
       this.epoch =
-          new EpochKeeper(
-              connection, table, confirmation, this, self, (e, s, d) -> {}, () -> false);
+          new EpochKeeper(connection, table, confirmation, this, self, this::note, () -> false);
       this.duty =
           new PrimaryDuty(
               connection,
@@ -158,7 +162,7 @@
               this::promote,
               this,
               this,
-              (e, s, d) -> {},
+              this::note,
               name,
               authority,
               epoch,
@@ -166,6 +170,10 @@
       table.listeners(() -> {}, duty::onDutyChanged);
     }
 
+    private void note(String event, String subject, String detail) {
+      trace.add(FleetModel.this.now() + " " + name + " " + event + " " + subject + ": " + detail);
+    }
+
     void start() {
       epoch.load();
       watch(0);
@@ -291,6 +299,7 @@
         commits++;
         if (late) {
           violations.add(name + " reported a commit at replaced " + database.id);
+          note("violation", database.id, "proof " + confirmation.ageMillis() + " ms old");
         } else {
           reportedCommits = Math.max(reportedCommits, position);
         }
--- a/core/src/test/java/org/pollenspar/core/process/FleetModelProperties.java
+++ b/core/src/test/java/org/pollenspar/core/process/FleetModelProperties.java
@@ -39,7 +39,7 @@
         assertEquals(
             List.of(),
             model.violations.stream().distinct().limit(4).toList(),
-            "history of seed " + (SEED + i));
+            "history of seed " + (SEED + i) + "\n" + String.join("\n", model.trace));
         commits += model.commits;
         promotions += model.promotions;
       }
