--- a/core/src/main/java/org/pollenspar/core/process/EpochKeeper.java
+++ b/core/src/main/java/org/pollenspar/core/process/EpochKeeper.java
@@ -1,5 +1,6 @@
 package org.pollenspar.core.process;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import org.jspecify.annotations.Nullable;
@@ -12,6 +13,11 @@
  * it was sent, no change had begun that the table read before doesn't show. After a renewal that
  * fails, the whole table is read again before the next one.
  *
+ * <p>While the store serves nobody, nobody can begin a change. So a proof is also that each other
+ * member says that the store doesn't serve it, that it has no change under way, and that its last
+ * proof came from the same shared lease; a host with an older lease may have missed a change. One
+ * member that doesn't answer voids that proof: it may be the one that the store still serves.
+ *
  * <p>A proof counts only while this host is registered: members that are not registered are not
  * asked to let go of a primary.
  */
@@ -19,12 +25,13 @@
   /** Lifetime of the shared lease; outlasts any outage in which the store lets leases expire. */
   private static final long EPOCH_TTL_MS = 120_000;
 
-  private static final long RENEWAL_MS = 2_000;
+  private static final long RENEWAL_MS = 1_000;
   private static final long RETRY_MS = 300;
 
   private final CoordinationStore store;
   private final FleetTable table;
   private final Confirmation confirmation;
+  private final FleetMessages messages;
   private final Timers timers;
   private final Member self;
   private final ControlListener listener;
@@ -32,13 +39,17 @@
   private Timers.@Nullable Timer next;
   private boolean loading;
   private boolean loaded;
+  private boolean outage;
+  private boolean asking;
   private long renewing;
+  private long provenLease;
 
   /** Creates a keeper that does nothing before {@link #load}. */
   public EpochKeeper(
       CoordinationStore store,
       FleetTable table,
       Confirmation confirmation,
+      FleetMessages messages,
       Timers timers,
       Member self,
       ControlListener listener,
@@ -46,6 +57,7 @@
     this.store = store;
     this.table = table;
     this.confirmation = confirmation;
+    this.messages = messages;
     this.timers = timers;
     this.self = self;
     this.listener = listener;
@@ -150,17 +162,62 @@
           if (renewing == lease) {
             renewing = 0;
           }
+          outage =
+              reply.status() == CoordinationStore.Status.REFUSED
+                  || reply.status() == CoordinationStore.Status.UNKNOWN;
           if (reply.done() && lease == table.epochLease() && registered()) {
             confirmation.renewed(sent);
+            provenLease = lease;
             schedule(RENEWAL_MS, this::proceed);
           } else if (reply.status() == CoordinationStore.Status.NOT_FOUND) {
             epochEnded(lease);
           } else {
+            askWitnesses();
             schedule(RETRY_MS, this::proceed);
           }
         });
   }
 
+  /**
+   * Returns whether the store did not serve this host when it last tried to renew its proof, and
+   * the proof before came from a lease.
+   */
+  public boolean witnessesOutage(long lease) {
+    return outage && lease != 0 && lease == provenLease;
+  }
+
+  private void askWitnesses() {
+    List<Member> others = new ArrayList<>();
+    for (Member member : table.members()) {
+      if (!member.name().equals(self.name())) {
+        others.add(member);
+      }
+    }
+    boolean proven = provenLease != 0 && provenLease == table.epochLease();
+    if (!outage || !proven || asking || others.isEmpty() || !registered()) {
+      return;
+    }
+    asking = true;
+    Confirmation.Sent sent = confirmation.now();
+    int[] open = {others.size()};
+    int[] witnesses = {0};
+    for (Member member : others) {
+      messages.witnessesOutage(
+          member,
+          provenLease,
+          witnessed -> {
+            witnesses[0] += witnessed ? 1 : 0;
+            open[0]--;
+            if (open[0] == 0) {
+              asking = false;
+              if (witnesses[0] == others.size() && outage) {
+                confirmation.renewed(sent);
+              }
+            }
+          });
+    }
+  }
+
   /** Reads the table again; replaces the lease if nobody else has done so after a while. */
   private void epochEnded(long lease) {
     store.range(
--- a/core/src/main/java/org/pollenspar/core/process/MemberSweep.java
+++ b/core/src/main/java/org/pollenspar/core/process/MemberSweep.java
@@ -13,9 +13,9 @@
  * proof has run out is it removed. Until then every change still waits for it.
  */
 final class MemberSweep {
-  private static final long PING_MS = 5_000;
+  private static final long PING_MS = 1_000;
   private static final int MISSED_PINGS = 3;
-  private static final long REMOVE_AFTER_MS = Confirmation.VALID_MS + 2_000;
+  private static final long REMOVE_AFTER_MS = Confirmation.VALID_MS + 1_000;
 
   private final PrimaryChange.Context context;
   private final Map<String, Integer> missed = new HashMap<>();
--- a/core/src/main/java/org/pollenspar/core/process/PrimaryChange.java
+++ b/core/src/main/java/org/pollenspar/core/process/PrimaryChange.java
@@ -28,7 +28,7 @@
  */
 final class PrimaryChange {
   /** Added to the lifetime of proofs, for clocks that differ and answers under way. */
-  private static final long PROOF_MARGIN_MS = 1_000;
+  private static final long PROOF_MARGIN_MS = 500;
 
   private static final long REVOKE_RETRY_MS = 500;
   private static final long CATCH_UP_MS = 1_500;
--- a/core/src/main/java/org/pollenspar/core/process/PrimaryDuty.java
+++ b/core/src/main/java/org/pollenspar/core/process/PrimaryDuty.java
@@ -19,8 +19,8 @@
   private static final long LEASE_MS = 3_000;
   private static final long RENEWAL_MS = 1_000;
   private static final long TICK_MS = 250;
-  private static final long PROBE_AFTER_MS = 400;
-  private static final long SILENT_MS = 1_100;
+  private static final long PROBE_AFTER_MS = 300;
+  private static final long SILENT_MS = 700;
   private static final long MISSING_MS = 2_500;
   private static final long FAILED_CHANGE_PAUSE_MS = 500;
 
@@ -95,6 +95,11 @@
     return Math.max(steady, context.clocks().wallMillis() - renewedWallMillis) < LEASE_MS;
   }
 
+  /** Returns whether this host has a change of a primary under way. */
+  public boolean changing() {
+    return groups.values().stream().anyMatch(state -> state.change != null);
+  }
+
   /** Takes the duty if it is free; called when the table was loaded or the key changed. */
   public void onDutyChanged() {
     if (!taking && !stopped && lease == 0 && free()) {
--- a/core/src/test/java/org/pollenspar/core/process/FleetModel.java
+++ b/core/src/test/java/org/pollenspar/core/process/FleetModel.java
@@ -152,7 +152,8 @@
       this.table = new FleetTable(authority);
       Member self = new Member(name, name, name + "-1", false);
       this.epoch =
-          new EpochKeeper(connection, table, confirmation, this, self, this::note, () -> false);
+          new EpochKeeper(
+              connection, table, confirmation, this, this, self, this::note, () -> false);
       this.duty =
           new PrimaryDuty(
               connection,
@@ -405,6 +406,15 @@
       ask(member, other -> {}, done);
     }
 
+    @Override
+    public void witnessesOutage(Member member, long lease, Consumer<Boolean> done) {
+      boolean[] witnessed = {false};
+      ask(
+          member,
+          other -> witnessed[0] = other.epoch.witnessesOutage(lease) && !other.duty.changing(),
+          answered -> done.accept(answered && witnessed[0]));
+    }
+
     @Override
     public void reaches(Member member, String group, String database, Consumer<Boolean> done) {
       boolean[] reached = {false};
--- a/edge/src/main/java/org/pollenspar/edge/connection/FleetChannel.java
+++ b/edge/src/main/java/org/pollenspar/edge/connection/FleetChannel.java
@@ -107,6 +107,8 @@
               message.getReach().getGroup(),
               message.getReach().getDatabase(),
               done -> acknowledge(active, message, done));
+      case OUTAGE ->
+          acknowledge(active, message, handler.witnessesOutage(message.getOutage().getLease()));
       case STORE_CALL -> relay(active, message);
       default -> active.close();
     }
--- a/edge/src/main/java/org/pollenspar/edge/connection/FleetHandler.java
+++ b/edge/src/main/java/org/pollenspar/edge/connection/FleetHandler.java
@@ -10,6 +10,12 @@
   /** Says whether a database answers this host. */
   void reaches(String group, String database, Consumer<Boolean> done);
 
+  /**
+   * Returns whether the store doesn't serve this host, its last proof came from a lease, and it has
+   * no change of a primary under way.
+   */
+  boolean witnessesOutage(long lease);
+
   /** Calls the platform for a host that the platform doesn't serve. */
   void callPlatform(
       String method, String path, byte[] body, int timeoutMillis, PlatformAnswer done);
--- a/edge/src/main/java/org/pollenspar/edge/connection/FleetNode.java
+++ b/edge/src/main/java/org/pollenspar/edge/connection/FleetNode.java
@@ -23,6 +23,7 @@
 import org.pollenspar.core.process.FleetMessages;
 import org.pollenspar.core.process.Member;
 import org.pollenspar.wire.fleet.FleetEnvelope;
+import org.pollenspar.wire.fleet.OutageRequest;
 import org.pollenspar.wire.fleet.PingRequest;
 import org.pollenspar.wire.fleet.ReachRequest;
 import org.pollenspar.wire.fleet.RevokeRequest;
@@ -91,6 +92,12 @@
     ask(member, FleetEnvelope.newBuilder().setRevoke(request), done);
   }
 
+  @Override
+  public void witnessesOutage(Member member, long lease, Consumer<Boolean> done) {
+    OutageRequest request = OutageRequest.newBuilder().setLease(lease).build();
+    ask(member, FleetEnvelope.newBuilder().setOutage(request), done);
+  }
+
   @Override
   public void reaches(Member member, String groupName, String database, Consumer<Boolean> done) {
     ReachRequest request =
--- a/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
@@ -90,6 +90,7 @@
             around.store(),
             table,
             confirmation,
+            around.messages(),
             around.timers(),
             around.self(),
             around.log(),
@@ -280,6 +281,11 @@
     around.timers().after(RELEASE_LIMIT_MS, release);
   }
 
+  /** Returns whether this host witnesses an outage of the store; see {@link FleetMessages}. */
+  public boolean witnessesOutage(long lease) {
+    return epoch.witnessesOutage(lease) && !duty.changing();
+  }
+
   /** Says whether a database answers this host. */
   public void reaches(String group, String database, Consumer<Boolean> done) {
     @Nullable DatabaseLane lane = lane(group, database);
