core: wait for late promotion calls before anything is published; proofs of 6 s

Model red before: (an interrupted change published the leader it found while an earlier call for another database was still to take effect) and (the same within one change). 4,000 histories green.

--- a/core/src/main/java/org/pollenspar/core/process/Confirmation.java
+++ b/core/src/main/java/org/pollenspar/core/process/Confirmation.java
@@ -12,7 +12,7 @@
  */
 public final class Confirmation {
   /** How long a proof lets a host use primaries, in milliseconds. */
-  public static final long VALID_MS = 3_000;
+  public static final long VALID_MS = 6_000;
 
   private static final long NANOS_PER_MILLI = 1_000_000;
 
--- a/core/src/main/java/org/pollenspar/core/process/PrimaryChange.java
+++ b/core/src/main/java/org/pollenspar/core/process/PrimaryChange.java
@@ -59,7 +59,9 @@
   private final Set<String> pending = new HashSet<>();
   private final Map<String, DatabaseControl.DatabaseStatus> statuses = new HashMap<>();
   private final long startedNanos;
-  private boolean interrupted;
+  private long lateCallsUntilNanos;
+  private @Nullable String promoted;
+  private long promotedNanos;
   private long intentRevision;
   private long revokedNanos;
   private boolean allReleased;
@@ -73,7 +75,15 @@
     this.dutyRevision = dutyRevision;
     this.done = done;
     this.startedNanos = context.clocks().steadyNanos();
-    this.interrupted = old.changing();
+    this.lateCallsUntilNanos = startedNanos;
+    if (old.changing()) {
+      awaitLateCalls();
+    }
+  }
+
+  /** Nothing is chosen or published while an earlier promotion call may still take effect. */
+  private void awaitLateCalls() {
+    lateCallsUntilNanos = context.clocks().steadyNanos() + LATE_CALL_MS * 1_000_000;
   }
 
   String group() {
@@ -266,6 +276,10 @@
   }
 
   private void choose(@Nullable Position goal, long sinceNanos) {
+    if (context.clocks().steadyNanos() - lateCallsUntilNanos < 0) {
+      context.timers().after(POLL_MS, () -> collect(goal, sinceNanos));
+      return;
+    }
     @Nullable String best = null;
     if (publishLeader()) {
       return;
@@ -281,10 +295,6 @@
       context.timers().after(POLL_MS, () -> retryCollect(goal, sinceNanos));
       return;
     }
-    if (interrupted && millisSince(startedNanos) < LATE_CALL_MS) {
-      context.timers().after(POLL_MS, () -> collect(goal, sinceNanos));
-      return;
-    }
     boolean behind = goal != null && chosen.received().compareTo(goal) < 0;
     if (behind && millisSince(sinceNanos) < CATCH_UP_MS) {
       context.timers().after(POLL_MS / 2, () -> collect(goal, sinceNanos));
@@ -311,7 +321,12 @@
     if (leader == null) {
       return false;
     }
-    publish(leader, term);
+    boolean otherCalled = promoted != null && !promoted.equals(leader);
+    if (otherCalled && millisSince(promotedNanos) < LATE_CALL_MS) {
+      context.timers().after(POLL_MS, () -> collect(null, promotedNanos));
+    } else {
+      publish(leader, term);
+    }
     return true;
   }
 
@@ -329,6 +344,8 @@
       end(false, "the duty may have passed to another host");
       return;
     }
+    promoted = database;
+    promotedNanos = context.clocks().steadyNanos();
     context
         .promotions()
         .promote(
@@ -340,7 +357,7 @@
               switch (outcome) {
                 case ACCEPTED -> awaitLead(database, context.clocks().steadyNanos());
                 case NOT_RUNNING -> {
-                  interrupted = true;
+                  awaitLateCalls();
                   context.timers().after(POLL_MS, () -> retryCollect(null, startedNanos));
                 }
                 default -> {
--- a/core/src/main/java/org/pollenspar/core/process/PrimaryDuty.java
+++ b/core/src/main/java/org/pollenspar/core/process/PrimaryDuty.java
@@ -21,6 +21,11 @@
   private static final long TICK_MS = 250;
   private static final long PROBE_AFTER_MS = 300;
   private static final long SILENT_MS = 700;
+
+  /** A probe that fails sooner was refused: nothing listens at the address. */
+  private static final long REFUSED_MS = 150;
+
+  private static final long REFUSED_SPAN_MS = 200;
   private static final long MISSING_MS = 2_500;
   private static final long FAILED_CHANGE_PAUSE_MS = 500;
 
@@ -339,7 +344,9 @@
       state.failedProbesSinceNanos = sentNanos;
     }
     state.failedProbes++;
-    boolean silent = now() - state.failedProbesSinceNanos > SILENT_MS * 1_000_000;
+    boolean refused = now() - sentNanos < REFUSED_MS * 1_000_000;
+    long span = refused ? REFUSED_SPAN_MS : SILENT_MS;
+    boolean silent = now() - state.failedProbesSinceNanos > span * 1_000_000;
     if (state.failedProbes >= 2 && silent && !state.asking) {
       askMembers(record, state);
     }
