core: slow the lower ranks at a database by the delay of its answers

Ruled out: time in the machines (0.03 of 0.51 cores) and connections (waiting is at the database). Change: RankPacer, per database and host, slows a rank while the smoothed delay of answers is above its limit; the most urgent rank is never slowed.

--- a/core/src/main/java/org/pollenspar/core/connection/DatabaseLane.java
+++ b/core/src/main/java/org/pollenspar/core/connection/DatabaseLane.java
@@ -25,6 +25,7 @@
   private static final long FIRST_BACKOFF_MS = 100;
   private static final long LONGEST_BACKOFF_MS = 1_600;
   private static final double SMOOTHING = 0.1;
+  private static final long PACING_POLL_MS = 20;
 
   /** Assumed time of one use of a connection before the first was measured. */
   private static final double INITIAL_USE_NANOS = 20e6;
@@ -35,6 +36,8 @@
   private final Set<PooledLink> links = new HashSet<>();
   private final ArrayDeque<PooledLink> idle = new ArrayDeque<>();
   private final LinkQueue queue = new LinkQueue();
+  private final RankPacer pacer = new RankPacer();
+  private boolean pacingTimer;
   private DatabaseEntry entry;
   private int share = 1;
   private int opening;
@@ -96,7 +99,8 @@
   public double expectedNanos(int priority) {
     int busy = links.size() - idle.size() + opening;
     double ahead = queue.ahead(priority) + Math.max(0, busy + 1 - share);
-    return useNanos * (1 + ahead / share);
+    double paced = pacer.waitNanos(priority, queue.waiting(priority), clocks.steadyNanos());
+    return useNanos + Math.max(useNanos * ahead / share, paced);
   }
 
   /** Returns how long ago the database last answered, in milliseconds; -1 if never. */
@@ -120,9 +124,9 @@
       request.refused(AnswerCode.BUSY, reason("unreachable"));
       return;
     }
-    @Nullable PooledLink link = takeIdle(request.image());
-    if (link != null) {
-      request.granted(link);
+    dropLost();
+    if (!idle.isEmpty() && pacer.tryStart(request.priority(), clocks.steadyNanos())) {
+      grant(request);
       return;
     }
     double wait = expectedNanos(request.priority()) - useNanos;
@@ -134,6 +138,27 @@
     }
     queue.add(request);
     openIfNeeded();
+    watchPacing();
+  }
+
+  private void grant(LinkRequest request) {
+    @Nullable PooledLink link = takeIdle(request.image());
+    if (link != null) {
+      request.granted(link);
+    }
+  }
+
+  /** Serves the queue again when a slowed rank may have its turn. */
+  private void watchPacing() {
+    if (!pacingTimer && !idle.isEmpty() && queue.length() > 0) {
+      pacingTimer = true;
+      timers.after(
+          PACING_POLL_MS,
+          () -> {
+            pacingTimer = false;
+            serveQueue();
+          });
+    }
   }
 
   private String reason(String state) {
@@ -180,6 +205,21 @@
     backoffMillis = 0;
   }
 
+  /** Learns from a complete answer how long the database took, its queue included. */
+  public void noteAnswer(int priority, AnswerCode code, long tookNanos) {
+    noteAnswer();
+    if (code == AnswerCode.BUSY) {
+      pacer.refused(clocks.steadyNanos());
+    } else if (!code.nothingRan()) {
+      pacer.used(priority, tookNanos, clocks.steadyNanos());
+    }
+  }
+
+  /** Returns the smoothed delay of answers by the database's queue, in milliseconds. */
+  public long delayMillis() {
+    return (long) (pacer.smoothedNanos() / NANOS_PER_MILLI);
+  }
+
   /** Notes that the database didn't answer in time: idle connections may be dead as well. */
   public void noteSilence() {
     closeIdle();
@@ -238,7 +278,7 @@
     }
   }
 
-  private @Nullable PooledLink takeIdle(SessionImage image) {
+  private void dropLost() {
     idle.removeIf(
         link -> {
           if (link.lost()) {
@@ -246,6 +286,9 @@
           }
           return link.lost();
         });
+  }
+
+  private @Nullable PooledLink takeIdle(SessionImage image) {
     for (PooledLink link : idle) {
       if (link.hasValues(image)) {
         idle.remove(link);
@@ -256,23 +299,22 @@
   }
 
   private void serveQueue() {
-    while (queue.length() > 0 && !idle.isEmpty()) {
-      @Nullable LinkRequest request = queue.poll();
+    dropLost();
+    while (!idle.isEmpty()) {
+      long now = clocks.steadyNanos();
+      @Nullable LinkRequest request = queue.poll(priority -> pacer.tryStart(priority, now));
       if (request == null) {
+        watchPacing();
         return;
       }
-      @Nullable PooledLink link = takeIdle(request.image());
-      if (link == null) {
-        queue.add(request);
-        openIfNeeded();
-        return;
-      }
-      request.granted(link);
+      grant(request);
     }
+    openIfNeeded();
   }
 
   private void openIfNeeded() {
     while (!retired
+        && idle.isEmpty()
         && opening < queue.length()
         && links.size() + opening < share
         && !backingOff()) {
--- a/core/src/main/java/org/pollenspar/core/connection/GroupTraffic.java
+++ b/core/src/main/java/org/pollenspar/core/connection/GroupTraffic.java
@@ -188,8 +188,14 @@
     return lane.expectedNanos(priority) + (remote ? REMOTE_PENALTY_NANOS : 0);
   }
 
-  /** Learns from a complete answer of a database to a request sent at {@code sentNanos}. */
-  public void observe(DatabaseLane lane, Answer answer, long sentNanos) {
+  /** Learns from a complete answer to a statement that was sent at {@code sentNanos}. */
+  public void observe(DatabaseLane lane, int priority, Answer answer, long sentNanos) {
+    lane.noteAnswer(priority, answer.code(), clocks.steadyNanos() - sentNanos);
+    observePosition(lane, answer, sentNanos);
+  }
+
+  /** Learns the end of the log from the answer to a command that needs no slot. */
+  public void observePosition(DatabaseLane lane, Answer answer, long sentNanos) {
     lane.noteAnswer();
     if (answer.position() == null || lane != primary()) {
       return;
--- a/core/src/main/java/org/pollenspar/core/connection/LinkQueue.java
+++ b/core/src/main/java/org/pollenspar/core/connection/LinkQueue.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.IntPredicate;
 import org.jspecify.annotations.Nullable;
 
 /** Requests that wait for a connection: the most urgent rank first, in order of arrival within. */
@@ -17,17 +18,23 @@
     length++;
   }
 
-  @Nullable LinkRequest poll() {
-    for (ArrayDeque<LinkRequest> line : lines.values()) {
-      @Nullable LinkRequest first = line.pollFirst();
-      if (first != null) {
+  /** Returns the first request of the most urgent rank that may start. */
+  @Nullable LinkRequest poll(IntPredicate mayStart) {
+    for (Map.Entry<Integer, ArrayDeque<LinkRequest>> line : lines.entrySet()) {
+      if (!line.getValue().isEmpty() && mayStart.test(line.getKey())) {
         length--;
-        return first;
+        return line.getValue().pollFirst();
       }
     }
     return null;
   }
 
+  /** Returns how many requests of a rank wait. */
+  int waiting(int priority) {
+    @Nullable ArrayDeque<LinkRequest> line = lines.get(priority);
+    return line == null ? 0 : line.size();
+  }
+
   boolean remove(LinkRequest request) {
     @Nullable ArrayDeque<LinkRequest> line = lines.get(request.priority());
     if (line == null || !line.remove(request)) {
--- a/core/src/main/java/org/pollenspar/core/connection/SessionTransaction.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SessionTransaction.java
@@ -257,7 +257,7 @@
               return;
             }
             begun = true;
-            group.observe(on.lane(), answer, sentNanos);
+            group.observePosition(on.lane(), answer, sentNanos);
             if (abandoned) {
               finish(Answer.error(AnswerCode.ABORTED, "the caller left", TransactionState.IDLE));
             } else {
@@ -337,7 +337,7 @@
           new DatabaseCommand.Forward(request.id(), request.statement(), name, null),
           answer -> {
             if (answer.code() != AnswerCode.LOST) {
-              group.observe(on.lane(), answer, sentNanos);
+              group.observe(on.lane(), route.priority(), answer, sentNanos);
             }
             completed(on, answer);
             if (risky) {
--- a/core/src/main/java/org/pollenspar/core/connection/SingleStatement.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SingleStatement.java
@@ -178,7 +178,7 @@
   private void completed(PooledLink from, Answer answer, long term) {
     DatabaseLane lane = from.lane();
     if (answer.code() != AnswerCode.LOST) {
-      group.observe(lane, answer, sentNanos);
+      group.observe(lane, route.priority(), answer, sentNanos);
     }
     if (answer.code() == AnswerCode.NO_SUCH_STATEMENT) {
       from.forgetNames();
--- a/edge/src/main/java/org/pollenspar/edge/process/DecisionLog.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/DecisionLog.java
@@ -63,6 +63,7 @@
       line.text("database", lane.entry().id())
           .number("waiting", lane.waiting())
           .number("connections", lane.connections())
+          .number("delay_ms", lane.delayMillis())
           .number("answer_age_ms", lane.answerAgeMillis());
     }
     @Nullable Position position = answer.position();
