core: synchronous groups are promoted only with every replica heard

Cause: with synchronous replication an acknowledged write may be on one replica alone; the change took the first that answered and skipped leaving ones. Two of six new tests were red before (r2 promoted, 2 writes behind r1).

--- a/core/src/main/java/org/pollenspar/core/process/PrimaryChange.java
+++ b/core/src/main/java/org/pollenspar/core/process/PrimaryChange.java
@@ -240,7 +240,8 @@
     }
     List<DatabaseControl.Candidate> asked = new ArrayList<>();
     for (DatabaseControl.Candidate candidate : context.databases().candidates(group())) {
-      if (!candidate.draining() && !(candidate.id().equals(old.database()) && goal == null)) {
+      boolean silent = candidate.id().equals(old.database()) && goal == null;
+      if (!silent && (synchronous() || !candidate.draining())) {
         asked.add(candidate);
       }
     }
@@ -261,7 +262,7 @@
                 }
                 open[0]--;
                 if (open[0] == 0) {
-                  choose(goal, sinceNanos);
+                  choose(goal, sinceNanos, asked.size());
                 }
               });
     }
@@ -275,7 +276,15 @@
     }
   }
 
-  private void choose(@Nullable Position goal, long sinceNanos) {
+  /**
+   * With synchronous replication an acknowledged write may be on a single replica, also on one that
+   * leaves. So while the old primary doesn't say how far it was, every replica has to be heard.
+   */
+  private boolean synchronous() {
+    return context.databases().syncReplicas(group()) > 0;
+  }
+
+  private void choose(@Nullable Position goal, long sinceNanos, int asked) {
     if (context.clocks().steadyNanos() - lateCallsUntilNanos < 0) {
       context.timers().after(POLL_MS, () -> collect(goal, sinceNanos));
       return;
@@ -295,8 +304,12 @@
       context.timers().after(POLL_MS, () -> retryCollect(goal, sinceNanos));
       return;
     }
+    if (synchronous() && goal == null && statuses.size() < asked) {
+      context.timers().after(POLL_MS, () -> collect(null, sinceNanos));
+      return;
+    }
     boolean behind = goal != null && chosen.received().compareTo(goal) < 0;
-    if (behind && millisSince(sinceNanos) < CATCH_UP_MS) {
+    if (behind && (synchronous() || millisSince(sinceNanos) < CATCH_UP_MS)) {
       context.timers().after(POLL_MS / 2, () -> collect(goal, sinceNanos));
       return;
     }
--- /dev/null
+++ b/core/src/test/java/org/pollenspar/core/process/PrimaryChangeTest.java
@@ -0,0 +1,217 @@
+package org.pollenspar.core.process;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.pollenspar.core.connection.Position;
+
+/** Guards the choice of the new primary and the order of the steps of a change. */
+class PrimaryChangeTest {
+  private static final String GROUP = "ledger";
+  private final FakeTime time = new FakeTime();
+  private final ModelStore store = new ModelStore(time, new SplittableRandom(1));
+  private final CoordinationStore connection = store.connection("host", Runnable::run);
+  private final FleetTable table = new FleetTable(new PrimaryAuthority(new Confirmation(time)));
+  private final Databases databases = new Databases();
+  private final List<String> steps = new ArrayList<>();
+  private boolean dutyHeld = true;
+  private long dutyRevision;
+  private @Nullable PrimaryRecord old;
+
+  /** Databases whose positions, draining and silence a test sets. */
+  private final class Databases implements DatabaseControl {
+    final Map<String, DatabaseStatus> answers = new TreeMap<>();
+    final List<String> draining = new ArrayList<>();
+    int sync;
+
+    void at(String id, long number) {
+      answers.put(id, new DatabaseStatus(id.equals("p"), 1, new Position(1, number)));
+    }
+
+    @Override
+    public Collection<String> groups() {
+      return List.of(GROUP);
+    }
+
+    @Override
+    public Collection<Candidate> candidates(String group) {
+      return List.of(
+          new Candidate("p", draining.contains("p"), true, 0),
+          new Candidate("r1", draining.contains("r1"), false, 0),
+          new Candidate("r2", draining.contains("r2"), false, 0));
+    }
+
+    @Override
+    public int syncReplicas(String group) {
+      return sync;
+    }
+
+    @Override
+    public void status(String group, String database, Consumer<@Nullable DatabaseStatus> done) {
+      time.after(1, () -> done.accept(answers.get(database)));
+    }
+
+    @Override
+    public void stepDown(
+        String group, String database, long term, Consumer<@Nullable DatabaseStatus> done) {
+      steps.add("step down " + database);
+      status(group, database, done);
+    }
+  }
+
+  /** Members that all let go at once, unless a test names one that is silent. */
+  private final class Members implements FleetMessages {
+    @Override
+    public void ping(Member member, Consumer<Boolean> done) {
+      done.accept(true);
+    }
+
+    @Override
+    public void revoke(Member member, String group, long revision, Consumer<Boolean> done) {
+      steps.add("revoke " + member.name());
+      time.after(1, () -> done.accept(!member.name().equals("silent")));
+    }
+
+    @Override
+    public void witnessesOutage(Member member, long lease, Consumer<Boolean> done) {
+      done.accept(false);
+    }
+
+    @Override
+    public void reaches(Member member, String group, String database, Consumer<Boolean> done) {
+      done.accept(false);
+    }
+  }
+
+  private void put(String key, String value) {
+    connection.transact(
+        List.of(), List.of(new CoordinationStore.Put(key, value, 0)), List.of(), reply -> {});
+    time.advance(50);
+  }
+
+  @BeforeEach
+  void setUp() {
+    put(ControlKeys.DUTY, "host");
+    put(ControlKeys.EPOCH, ControlKeys.encodeEpoch(0));
+    put(
+        ControlKeys.primary(GROUP),
+        ControlKeys.encode(new PrimaryRecord(GROUP, "p", 1, false, 1, 0)));
+    put(ControlKeys.member("a"), ControlKeys.encode(new Member("a", "a", "1", false)));
+    connection.range(ControlKeys.PREFIX, reply -> table.load(reply.items(), reply.revision()));
+    time.advance(50);
+    dutyRevision = table.revision(ControlKeys.DUTY);
+    long revision = table.revision(ControlKeys.primary(GROUP));
+    old = new PrimaryRecord(GROUP, "p", 1, false, 1, revision);
+    databases.at("p", 10);
+    databases.at("r1", 10);
+    databases.at("r2", 8);
+  }
+
+  private void change() {
+    PrimaryChange.Context context =
+        new PrimaryChange.Context(
+            connection,
+            table,
+            databases,
+            new Members(),
+            (group, database, holder, fence, done) -> {
+              steps.add("promote " + database);
+              databases.answers.put(
+                  database,
+                  new DatabaseControl.DatabaseStatus(
+                      true, 2, databases.answers.get(database).received()));
+              time.after(5, () -> done.accept(PromotionService.Outcome.ACCEPTED));
+            },
+            time,
+            time,
+            (event, subject, detail) -> steps.add(event),
+            "host",
+            () -> dutyHeld);
+    new PrimaryChange(context, old, 7, dutyRevision, success -> steps.add("done " + success))
+        .start("test");
+  }
+
+  @Nested
+  class Order {
+
+    @Test
+    void membersLetGoBeforeThePromotion() {
+      change();
+      time.advance(2_000);
+      assertTrue(steps.indexOf("revoke a") < steps.indexOf("step down p"), steps.toString());
+      assertTrue(steps.indexOf("step down p") < steps.indexOf("promote r1"), steps.toString());
+      assertTrue(steps.contains("done true"), steps.toString());
+      assertEquals(
+          "r1",
+          ControlKeys.decodePrimary(
+                  ControlKeys.primary(GROUP), table.value(ControlKeys.primary(GROUP)), 1)
+              .database());
+    }
+
+    @Test
+    void silentMemberIsWaitedForUntilItsProofsEnd() {
+      put(ControlKeys.member("silent"), ControlKeys.encode(new Member("silent", "s", "1", false)));
+      change();
+      time.advance(Confirmation.VALID_MS);
+      assertTrue(steps.stream().noneMatch(step -> step.startsWith("promote")), steps.toString());
+      time.advance(3_000);
+      assertTrue(steps.contains("done true"), steps.toString());
+    }
+
+    @Test
+    void nothingIsPromotedWithoutTheDuty() {
+      dutyHeld = false;
+      change();
+      time.advance(2_000);
+      assertTrue(steps.stream().noneMatch(step -> step.startsWith("promote")), steps.toString());
+      assertTrue(steps.contains("done false"), steps.toString());
+    }
+  }
+
+  @Nested
+  class Choice {
+
+    @Test
+    void leavingReplicaIsNotChosen() {
+      databases.draining.add("r1");
+      databases.at("r2", 10);
+      change();
+      time.advance(2_000);
+      assertTrue(steps.contains("promote r2"), steps.toString());
+    }
+
+    @Test
+    void synchronousGroupWaitsForEachReplicaOfASilentPrimary() {
+      databases.sync = 1;
+      databases.answers.remove("p");
+      databases.answers.remove("r1");
+      change();
+      time.advance(3_000);
+      assertTrue(steps.stream().noneMatch(step -> step.startsWith("promote")), steps.toString());
+      databases.at("r1", 10);
+      time.advance(2_000);
+      assertTrue(steps.contains("promote r1"), steps.toString());
+    }
+
+    @Test
+    void synchronousGroupPromotesALeavingReplicaThatIsAhead() {
+      databases.sync = 1;
+      databases.answers.remove("p");
+      databases.draining.add("r1");
+      change();
+      time.advance(2_000);
+      assertTrue(steps.contains("promote r1"), steps.toString());
+    }
+  }
+}
