--- a/core/src/main/java/org/pollenspar/core/connection/SessionTransaction.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SessionTransaction.java
@@ -361,7 +361,7 @@
         if (failed && answer.state() == TransactionState.IDLE) {
           begun = false;
         }
-        finish(failed && answer.ok() ? answer : withState(answer));
+        finish(withState(answer));
       }
     }
 
