core: publish the successor of a primary that leads the same term

Ruled out: the duty (held), the members (released after 6.5 s), the store. New test red before (promoted instead of published).

--- a/core/src/main/java/org/pollenspar/core/process/PrimaryChange.java
+++ b/core/src/main/java/org/pollenspar/core/process/PrimaryChange.java
@@ -320,13 +320,21 @@
   }
 
   /**
-   * Publishes the database that leads the newest term, if one newer than the old primary's is led.
+   * Returns whether a database leads in place of the old primary: in a newer term, or in the same
+   * one as the successor that took over the old primary's log at its address.
    */
+  private boolean succeeds(String database, DatabaseControl.DatabaseStatus status) {
+    boolean newer = status.term() > old.term();
+    boolean inherited = status.term() == old.term() && !database.equals(old.database());
+    return status.primary() && (newer || inherited);
+  }
+
+  /** Publishes the database that leads the newest term, if one succeeds the old primary. */
   private boolean publishLeader() {
     @Nullable String leader = null;
-    long term = old.term();
+    long term = -1;
     for (Map.Entry<String, DatabaseControl.DatabaseStatus> each : statuses.entrySet()) {
-      if (each.getValue().primary() && each.getValue().term() > term) {
+      if (succeeds(each.getKey(), each.getValue()) && each.getValue().term() > term) {
         leader = each.getKey();
         term = each.getValue().term();
       }
@@ -394,7 +402,7 @@
             group(),
             database,
             status -> {
-              if (status != null && status.primary() && status.term() > old.term()) {
+              if (status != null && succeeds(database, status)) {
                 // An earlier call for another database may have taken effect as well.
                 collect(null, context.clocks().steadyNanos());
               } else if (millisSince(sinceNanos) > LEAD_TIMEOUT_MS) {
--- a/core/src/test/java/org/pollenspar/core/process/PrimaryChangeTest.java
+++ b/core/src/test/java/org/pollenspar/core/process/PrimaryChangeTest.java
@@ -191,6 +191,17 @@
       assertTrue(steps.contains("promote r2"), steps.toString());
     }
 
+    /** A replaced database hands its log, its term and its lead to another at its address. */
+    @Test
+    void successorThatLeadsTheSameTermIsPublishedWithoutAPromotion() {
+      databases.answers.remove("p");
+      databases.answers.put("r1", new DatabaseControl.DatabaseStatus(true, 1, new Position(1, 10)));
+      change();
+      time.advance(2_000);
+      assertTrue(steps.stream().noneMatch(step -> step.startsWith("promote")), steps.toString());
+      assertTrue(steps.contains("done true"), steps.toString());
+    }
+
     @Test
     void synchronousGroupWaitsForEachReplicaOfASilentPrimary() {
       databases.sync = 1;
