Use one piece of code where the platform path had written it twice

Found in a last read of the change; behaviour stays as it is. - Moment: elapsed time by both clocks stood in Confirmation, in PrimaryDuty and, in another form, in SingleStatement. - MemberPoll: asking all members and counting the answers stood twice. - The share of connections uses ConnectionShare, which the project had. - The handling of a late answer and the patience of a request stood in single statements and in transactions; the latter's idle timer was stopped twice over. - Each answer was noted twice at its database; the fence was passed twice to a change; a published record was encoded from two copies. - Removed as unused: Pause, Resume, PrimaryAuthority.load, latestPosition, unreachable(). Only difference to see: the age of a proof in the metrics is the largest number while there is none, where it was a meaningless one.

--- a/core/src/main/java/org/pollenspar/core/connection/DatabaseLane.java
+++ b/core/src/main/java/org/pollenspar/core/connection/DatabaseLane.java
@@ -90,11 +90,6 @@
     return backoffMillis > 0 && clocks.steadyNanos() - closedUntilNanos < 0;
   }
 
-  /** Returns whether the last attempt to connect or to get an answer failed. */
-  public boolean unreachable() {
-    return unreachable;
-  }
-
   /** Returns the expected time until a newcomer of a rank has its answer, in nanoseconds. */
   public double expectedNanos(int priority) {
     int busy = links.size() - idle.size() + opening;
@@ -221,10 +216,21 @@
   }
 
   /** Notes that the database didn't answer in time: idle connections may be dead as well. */
-  public void noteSilence() {
+  void noteSilence() {
     closeIdle();
   }
 
+  /**
+   * Closes a connection whose answer did not come within a limit. If no other answer came in the
+   * later half of that time either, the database counts as silent.
+   */
+  void timedOut(PooledLink link, long limitMillis) {
+    if (answerAgeMillis() > limitMillis / 2) {
+      noteSilence();
+    }
+    link.close();
+  }
+
   /** Notes that the log lacks a position that another request needed. */
   public void noteLagging() {
     lagBackoffMillis = Math.min(400, Math.max(25, 2 * lagBackoffMillis));
--- a/core/src/main/java/org/pollenspar/core/connection/GroupTraffic.java
+++ b/core/src/main/java/org/pollenspar/core/connection/GroupTraffic.java
@@ -191,12 +191,16 @@
   /** Learns from a complete answer to a statement that was sent at {@code sentNanos}. */
   public void observe(DatabaseLane lane, int priority, Answer answer, long sentNanos) {
     lane.noteAnswer(priority, answer.code(), clocks.steadyNanos() - sentNanos);
-    observePosition(lane, answer, sentNanos);
+    learnPosition(lane, answer, sentNanos);
   }
 
   /** Learns the end of the log from the answer to a command that needs no slot. */
   public void observePosition(DatabaseLane lane, Answer answer, long sentNanos) {
     lane.noteAnswer();
+    learnPosition(lane, answer, sentNanos);
+  }
+
+  private void learnPosition(DatabaseLane lane, Answer answer, long sentNanos) {
     if (answer.position() == null || lane != primary()) {
       return;
     }
@@ -204,9 +208,4 @@
       positions.add(answer.position(), sentNanos);
     }
   }
-
-  /** Returns the latest known end of the primary's log; null if not known. */
-  public @Nullable Position latestPosition() {
-    return positions.latest();
-  }
 }
--- a/core/src/main/java/org/pollenspar/core/connection/SessionContext.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SessionContext.java
@@ -5,6 +5,8 @@
 import org.jspecify.annotations.Nullable;
 import org.pollenspar.core.process.Clocks;
 import org.pollenspar.core.process.Timers;
+import org.pollenspar.core.request.SessionRequest;
+import org.pollenspar.core.version.Route;
 import org.pollenspar.core.version.RouteTable;
 
 /**
@@ -21,4 +23,12 @@
     Function<String, @Nullable GroupTraffic> groups,
     Clocks clocks,
     Timers timers,
-    DecisionListener decisions) {}
+    DecisionListener decisions) {
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  /** Returns how long a request may still wait and meet its route's objective, in nanoseconds. */
+  long patienceNanos(Route route, SessionRequest request) {
+    return route.targetLatencyMillis() * NANOS_PER_MILLI
+        - (clocks.steadyNanos() - request.arrivedNanos());
+  }
+}
--- a/core/src/main/java/org/pollenspar/core/connection/SessionTransaction.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SessionTransaction.java
@@ -23,7 +23,6 @@
  */
 final class SessionTransaction {
   private static final int OPEN_ATTEMPTS = 3;
-  private static final long NANOS_PER_MILLI = 1_000_000;
 
   private final SessionContext context;
   private final Route route;
@@ -69,10 +68,7 @@
   }
 
   void run(SessionRequest request, Consumer<Answer> done) {
-    if (idleTimer != null) {
-      idleTimer.cancel();
-      idleTimer = null;
-    }
+    stopIdleTimer();
     Statement statement = new Statement(request, done);
     current = statement;
     statement.start();
@@ -81,11 +77,15 @@
   /** Rolls back; the caller doesn't wait for it. */
   void rollback() {
     failed = true;
+    stopIdleTimer();
+    release();
+  }
+
+  private void stopIdleTimer() {
     if (idleTimer != null) {
       idleTimer.cancel();
       idleTimer = null;
     }
-    release();
   }
 
   /** The caller left. A commit that was sent runs to its end. */
@@ -206,8 +206,7 @@
 
     @Override
     public long patienceNanos() {
-      return route.targetLatencyMillis() * NANOS_PER_MILLI
-          - (context.clocks().steadyNanos() - request.arrivedNanos());
+      return context.patienceNanos(route, request);
     }
 
     @Override
@@ -430,10 +429,7 @@
       }
       timedOut = true;
       if (link != null) {
-        if (link.lane().answerAgeMillis() > route.statementTimeoutMillis() / 2) {
-          link.lane().noteSilence();
-        }
-        link.close();
+        link.lane().timedOut(link, route.statementTimeoutMillis());
       } else if (waitingAt != null && waitingAt.withdraw(this)) {
         failOpen(AnswerCode.BUSY, "no connection became free; retry later");
       }
--- a/core/src/main/java/org/pollenspar/core/connection/SingleStatement.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SingleStatement.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.pollenspar.core.process.Moment;
 import org.pollenspar.core.process.Timers;
 import org.pollenspar.core.request.Answer;
 import org.pollenspar.core.request.AnswerCode;
@@ -22,7 +23,6 @@
  */
 final class SingleStatement implements LinkRequest {
   private static final int ATTEMPTS = 4;
-  private static final long NANOS_PER_MILLI = 1_000_000;
 
   /** Difference between the clocks that shows that this host was suspended during a read. */
   private static final long SUSPENDED_MS = 300;
@@ -41,8 +41,6 @@
   private @Nullable PooledLink link;
   private int attempts;
   private long grantedNanos;
-  private long sentNanos;
-  private long sentWallMillis;
   private boolean sent;
   private boolean timedOut;
   private boolean finished;
@@ -107,8 +105,7 @@
 
   @Override
   public long patienceNanos() {
-    return route.targetLatencyMillis() * NANOS_PER_MILLI
-        - (context.clocks().steadyNanos() - request.arrivedNanos());
+    return context.patienceNanos(route, request);
   }
 
   @Override
@@ -158,8 +155,7 @@
       retryOr(AnswerCode.LAGGING, "the end of the primary's log is not known");
       return;
     }
-    sentNanos = context.clocks().steadyNanos();
-    sentWallMillis = context.clocks().wallMillis();
+    Moment now = Moment.now(context.clocks());
     sent = true;
     if (writes) {
       group.authority().writeStarted(group.group());
@@ -167,7 +163,7 @@
     long term = group.term();
     to.run(
         new DatabaseCommand.Forward(request.id(), request.statement(), preparedName(to), after),
-        answer -> completed(to, answer, term));
+        answer -> completed(to, answer, now, term));
   }
 
   private @Nullable String preparedName(PooledLink to) {
@@ -175,10 +171,10 @@
     return shape == null ? null : to.preparedName(shape);
   }
 
-  private void completed(PooledLink from, Answer answer, long term) {
+  private void completed(PooledLink from, Answer answer, Moment sentAt, long term) {
     DatabaseLane lane = from.lane();
     if (answer.code() != AnswerCode.LOST) {
-      group.observe(lane, route.priority(), answer, sentNanos);
+      group.observe(lane, route.priority(), answer, sentAt.steadyNanos());
     }
     if (answer.code() == AnswerCode.NO_SUCH_STATEMENT) {
       from.forgetNames();
@@ -193,7 +189,7 @@
       group.authority().writeEnded(group.group());
     } else if (!answer.ok()) {
       readFailed(lane, answer);
-    } else if (stale(lane, term)) {
+    } else if (stale(lane, sentAt, term)) {
       retryOr(AnswerCode.BUSY, "the answer may be out of date");
     } else {
       lane.noteFresh();
@@ -231,13 +227,12 @@
   }
 
   /** Returns whether the evidence on which a read was sent no longer stands. */
-  private boolean stale(DatabaseLane lane, long term) {
+  private boolean stale(DatabaseLane lane, Moment sentAt, long term) {
     GroupTraffic.@Nullable ReadTarget at = target;
     if (at != null && at.primary()) {
       return !group.authority().leads(group.group(), lane.entry().id(), term);
     }
-    long steady = (context.clocks().steadyNanos() - sentNanos) / NANOS_PER_MILLI;
-    return context.clocks().wallMillis() - sentWallMillis - steady > SUSPENDED_MS;
+    return sentAt.suspendedMillis(context.clocks()) > SUSPENDED_MS;
   }
 
   private void retryOr(AnswerCode code, String detail) {
@@ -268,10 +263,7 @@
     @Nullable PooledLink used = link;
     if (used != null) {
       timedOut = true;
-      if (used.lane().answerAgeMillis() > route.statementTimeoutMillis() / 2) {
-        used.lane().noteSilence();
-      }
-      used.close();
+      used.lane().timedOut(used, route.statementTimeoutMillis());
     } else if (at != null && at.lane().withdraw(this)) {
       finish(AnswerCode.BUSY, "no connection became free; retry later");
     }
--- a/core/src/main/java/org/pollenspar/core/process/Confirmation.java
+++ b/core/src/main/java/org/pollenspar/core/process/Confirmation.java
@@ -1,28 +1,21 @@
 package org.pollenspar.core.process;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * How long ago it was proved that no change of a primary has begun since the table of primaries was
  * read.
  *
- * <p>The proof counts from the moment its request was sent. Elapsed time is the larger of what the
- * steady clock and the time of day say: the steady clock stops while a host is suspended, and a
- * time of day that jumps forward only costs an early renewal. What is missed is a suspension during
- * which the time of day also jumps back; the margin of whoever replaces a primary covers small
- * jumps.
+ * <p>The proof counts from the {@link Moment} its request was sent. A time of day that jumps
+ * forward only costs an early renewal; the margin of whoever replaces a primary covers small jumps
+ * back.
  */
 public final class Confirmation {
   /** How long a proof lets a host use primaries, in milliseconds. */
   public static final long VALID_MS = 6_000;
 
-  private static final long NANOS_PER_MILLI = 1_000_000;
-
-  /** When a request for a proof was sent. */
-  public record Sent(long steadyNanos, long wallMillis) {}
-
   private final Clocks clocks;
-  private boolean confirmed;
-  private long steadyNanos;
-  private long wallMillis;
+  private @Nullable Moment proof;
 
   /** Creates a confirmation that does not hold yet. */
   public Confirmation(Clocks clocks) {
@@ -30,30 +23,28 @@
   }
 
   /** Returns the present moment, to be passed to {@link #renewed} once the answer arrives. */
-  public Sent now() {
-    return new Sent(clocks.steadyNanos(), clocks.wallMillis());
+  public Moment now() {
+    return Moment.now(clocks);
   }
 
   /** Records a proof whose request was sent at {@code sent}. */
-  public void renewed(Sent sent) {
-    confirmed = true;
-    steadyNanos = sent.steadyNanos();
-    wallMillis = sent.wallMillis();
+  public void renewed(Moment sent) {
+    proof = sent;
   }
 
   /** Withdraws the proof until the next renewal. */
   public void withdraw() {
-    confirmed = false;
+    proof = null;
   }
 
   /** Returns whether primaries may be used. */
   public boolean holds() {
-    return confirmed && ageMillis() < VALID_MS;
+    return ageMillis() < VALID_MS;
   }
 
-  /** Returns the age of the last proof in milliseconds. */
+  /** Returns the age of the proof in milliseconds; {@link Long#MAX_VALUE} without one. */
   public long ageMillis() {
-    long steady = (clocks.steadyNanos() - steadyNanos) / NANOS_PER_MILLI;
-    return Math.max(steady, clocks.wallMillis() - wallMillis);
+    @Nullable Moment sent = proof;
+    return sent == null ? Long.MAX_VALUE : sent.ageMillis(clocks);
   }
 }
--- a/core/src/main/java/org/pollenspar/core/process/EpochKeeper.java
+++ b/core/src/main/java/org/pollenspar/core/process/EpochKeeper.java
@@ -155,7 +155,7 @@
       return;
     }
     renewing = lease;
-    Confirmation.Sent sent = confirmation.now();
+    Moment sent = confirmation.now();
     store.keepLease(
         lease,
         reply -> {
@@ -198,24 +198,16 @@
       return;
     }
     asking = true;
-    Confirmation.Sent sent = confirmation.now();
-    int[] open = {others.size()};
-    int[] witnesses = {0};
-    for (Member member : others) {
-      messages.witnessesOutage(
-          member,
-          provenLease,
-          witnessed -> {
-            witnesses[0] += witnessed ? 1 : 0;
-            open[0]--;
-            if (open[0] == 0) {
-              asking = false;
-              if (witnesses[0] == others.size() && outage) {
-                confirmation.renewed(sent);
-              }
-            }
-          });
-    }
+    Moment sent = confirmation.now();
+    MemberPoll.count(
+        others,
+        (member, answer) -> messages.witnessesOutage(member, provenLease, answer),
+        witnesses -> {
+          asking = false;
+          if (witnesses == others.size() && outage) {
+            confirmation.renewed(sent);
+          }
+        });
   }
 
   /** Reads the table again; replaces the lease if nobody else has done so after a while. */
--- /dev/null
+++ b/core/src/main/java/org/pollenspar/core/process/MemberPoll.java
@@ -0,0 +1,37 @@
+package org.pollenspar.core.process;
+
+import java.util.Collection;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.IntConsumer;
+
+/** Asks several members the same question and counts who says yes. */
+final class MemberPoll {
+  private MemberPoll() {}
+
+  /**
+   * Asks all members at once.
+   *
+   * @param members those asked, at least one
+   * @param question asks one member; must call back exactly once
+   * @param done receives the number of positive answers once all have answered
+   */
+  static void count(
+      Collection<Member> members,
+      BiConsumer<Member, Consumer<Boolean>> question,
+      IntConsumer done) {
+    int[] open = {members.size()};
+    int[] positive = {0};
+    for (Member member : members) {
+      question.accept(
+          member,
+          answer -> {
+            positive[0] += answer ? 1 : 0;
+            open[0]--;
+            if (open[0] == 0) {
+              done.accept(positive[0]);
+            }
+          });
+    }
+  }
+}
--- a/core/src/main/java/org/pollenspar/core/process/PrimaryAuthority.java
+++ b/core/src/main/java/org/pollenspar/core/process/PrimaryAuthority.java
@@ -1,7 +1,6 @@
 package org.pollenspar.core.process;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -35,11 +34,6 @@
     revocationListeners.add(listener);
   }
 
-  /** Replaces what is known by the content of the store. */
-  public void load(Collection<PrimaryRecord> table) {
-    table.forEach(this::update);
-  }
-
   /**
    * Takes over one record of the store. A record older than a revocation or a record already known
    * is ignored, since events and direct messages may cross.
--- a/core/src/main/java/org/pollenspar/core/process/PrimaryChange.java
+++ b/core/src/main/java/org/pollenspar/core/process/PrimaryChange.java
@@ -54,7 +54,6 @@
   private final Context context;
   private final PrimaryRecord old;
   private final long fence;
-  private final long dutyRevision;
   private final Consumer<Boolean> done;
   private final Set<String> pending = new HashSet<>();
   private final Map<String, DatabaseControl.DatabaseStatus> statuses = new HashMap<>();
@@ -67,12 +66,10 @@
   private boolean allReleased;
   private boolean ended;
 
-  PrimaryChange(
-      Context context, PrimaryRecord old, long fence, long dutyRevision, Consumer<Boolean> done) {
+  PrimaryChange(Context context, PrimaryRecord old, long fence, Consumer<Boolean> done) {
     this.context = context;
     this.old = old;
     this.fence = fence;
-    this.dutyRevision = dutyRevision;
     this.done = done;
     this.startedNanos = context.clocks().steadyNanos();
     this.lateCallsUntilNanos = startedNanos;
@@ -112,7 +109,7 @@
         .transact(
             List.of(
                 new CoordinationStore.Expectation(key, expected),
-                new CoordinationStore.Expectation(ControlKeys.DUTY, dutyRevision)),
+                new CoordinationStore.Expectation(ControlKeys.DUTY, fence)),
             List.of(new CoordinationStore.Put(key, ControlKeys.encode(record), 0)),
             List.of(),
             reply -> {
@@ -414,8 +411,9 @@
   }
 
   private void publish(String database, long term) {
+    PrimaryRecord leader = new PrimaryRecord(group(), database, term, false, fence, 0);
     write(
-        new PrimaryRecord(group(), database, term, false, fence, 0),
+        leader,
         intentRevision,
         reply -> {
           context
@@ -423,8 +421,7 @@
               .apply(
                   new CoordinationStore.Item(
                       ControlKeys.primary(group()),
-                      ControlKeys.encode(
-                          new PrimaryRecord(group(), database, term, false, fence, 0)),
+                      ControlKeys.encode(leader),
                       reply.revision(),
                       false));
           end(true, database + " leads term " + term);
--- a/core/src/main/java/org/pollenspar/core/process/PrimaryDuty.java
+++ b/core/src/main/java/org/pollenspar/core/process/PrimaryDuty.java
@@ -39,8 +39,7 @@
   private boolean stopped;
   private long lease;
   private long fence;
-  private long renewedNanos;
-  private long renewedWallMillis;
+  private Moment renewed;
 
   /** What the holder knows of one group. */
   private static final class GroupState {
@@ -89,15 +88,12 @@
     this.epoch = epoch;
     this.takeoverDelayMillis = takeoverDelayMillis;
     this.sweep = new MemberSweep(context);
+    this.renewed = Moment.now(clocks);
   }
 
   /** Returns whether this host holds the duty, by either clock. */
   public boolean held() {
-    if (lease == 0) {
-      return false;
-    }
-    long steady = (context.clocks().steadyNanos() - renewedNanos) / 1_000_000;
-    return Math.max(steady, context.clocks().wallMillis() - renewedWallMillis) < LEASE_MS;
+    return lease != 0 && renewed.ageMillis(context.clocks()) < LEASE_MS;
   }
 
   /** Returns whether this host has a change of a primary under way. */
@@ -122,7 +118,7 @@
       taking = false;
       return;
     }
-    markRenewed();
+    renewed = Moment.now(context.clocks());
     context
         .store()
         .grantLease(
@@ -163,11 +159,6 @@
     context.timers().after(LEASE_MS / 2, this::onDutyChanged);
   }
 
-  private void markRenewed() {
-    renewedNanos = context.clocks().steadyNanos();
-    renewedWallMillis = context.clocks().wallMillis();
-  }
-
   private void scheduleRenewal() {
     context.timers().after(RENEWAL_MS, this::renew);
   }
@@ -176,16 +167,14 @@
     if (lease == 0) {
       return;
     }
-    long sentNanos = context.clocks().steadyNanos();
-    long sentWall = context.clocks().wallMillis();
+    Moment sent = Moment.now(context.clocks());
     context
         .store()
         .keepLease(
             lease,
             reply -> {
               if (reply.done()) {
-                renewedNanos = sentNanos;
-                renewedWallMillis = sentWall;
+                renewed = sent;
               }
               if (reply.status() == CoordinationStore.Status.NOT_FOUND) {
                 lose("the lease ended");
@@ -360,30 +349,19 @@
         members.add(member);
       }
     }
-    state.asking = true;
-    int[] open = {members.size()};
-    int[] reach = {0};
     if (members.isEmpty()) {
-      state.asking = false;
       replace(record, state, "it does not answer");
       return;
     }
-    for (Member member : members) {
-      context
-          .messages()
-          .reaches(
-              member,
-              record.group(),
-              record.database(),
-              reached -> {
-                reach[0] += reached ? 1 : 0;
-                open[0]--;
-                if (open[0] == 0) {
-                  state.asking = false;
-                  judge(record, state, reach[0], members.size());
-                }
-              });
-    }
+    state.asking = true;
+    MemberPoll.count(
+        members,
+        (member, answer) ->
+            context.messages().reaches(member, record.group(), record.database(), answer),
+        reached -> {
+          state.asking = false;
+          judge(record, state, reached, members.size());
+        });
   }
 
   private void judge(PrimaryRecord record, GroupState state, int reached, int asked) {
@@ -408,7 +386,6 @@
             context,
             record,
             fence,
-            fence,
             success -> {
               state.change = null;
               if (!success) {
--- a/core/src/main/java/org/pollenspar/core/request/DatabaseCommand.java
+++ b/core/src/main/java/org/pollenspar/core/request/DatabaseCommand.java
@@ -35,12 +35,6 @@
   /** Asks for role, positions and load; the answer's first row carries them. */
   record Status() implements DatabaseCommand {}
 
-  /** Stops a replica from receiving while a primary of a higher term is chosen. */
-  record Pause(long term) implements DatabaseCommand {}
-
-  /** Lets a paused replica receive again. */
-  record Resume() implements DatabaseCommand {}
-
   /** Makes a primary of a lower term a replica. */
   record StepDown(long term) implements DatabaseCommand {}
 }
--- a/core/src/test/java/org/pollenspar/core/process/ConfirmationTest.java
+++ b/core/src/test/java/org/pollenspar/core/process/ConfirmationTest.java
@@ -16,7 +16,7 @@
 
     @Test
     void countsFromTheSendingOfTheRequest() {
-      Confirmation.Sent sent = confirmation.now();
+      Moment sent = confirmation.now();
       time.advance(4_000);
       confirmation.renewed(sent);
       assertTrue(confirmation.holds());
--- a/core/src/test/java/org/pollenspar/core/process/PrimaryChangeTest.java
+++ b/core/src/test/java/org/pollenspar/core/process/PrimaryChangeTest.java
@@ -138,7 +138,7 @@
             (event, subject, detail) -> steps.add(event),
             "host",
             () -> dutyHeld);
-    new PrimaryChange(context, old, 7, dutyRevision, success -> steps.add("done " + success))
+    new PrimaryChange(context, old, dutyRevision, success -> steps.add("done " + success))
         .start("test");
   }
 
--- a/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
@@ -12,6 +12,7 @@
 import org.jspecify.annotations.Nullable;
 import org.pollenspar.core.connection.CallerPort;
 import org.pollenspar.core.connection.CallerSession;
+import org.pollenspar.core.connection.ConnectionShare;
 import org.pollenspar.core.connection.DatabaseEntry;
 import org.pollenspar.core.connection.DatabaseLane;
 import org.pollenspar.core.connection.DatabaseLink;
@@ -214,8 +215,9 @@
   private void databasesChanged(String group) {
     @Nullable GroupTraffic traffic = groups.get(group);
     if (traffic != null) {
-      traffic.databases(directory.of(group));
-      around.log().changed("databases_changed", group, directory.of(group).toString());
+      List<DatabaseEntry> entries = directory.of(group);
+      traffic.databases(entries);
+      around.log().changed("databases_changed", group, entries.toString());
     }
   }
 
@@ -224,7 +226,8 @@
     for (GroupTraffic traffic : groups.values()) {
       RouteTable.@Nullable Group group = routes.groups().get(traffic.group());
       if (group != null) {
-        traffic.share((int) (SHARED_PART * group.maxConnections() / members));
+        int shared = (int) (SHARED_PART * group.maxConnections());
+        traffic.share(new ConnectionShare(shared, 0, members).share());
       }
     }
   }
