--- /dev/null
+++ b/review/lib/Host.java
@@ -0,0 +1,124 @@
+package review;
+
+import java.io.IOException;
+import java.net.HttpURLConnection;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * An edge host: the program of the deploy file as a process of its own, started with the deploy
+ * file's command and settings from its template.
+ */
+final class Host implements AutoCloseable {
+  final String name;
+  final int callers;
+  final int probes;
+  final int fleet;
+  private final Path log;
+  private final Path settings;
+  private Process process;
+
+  /** Starts the program; {@code root} is the root of the repository. */
+  Host(Path root, Path folder, String name, int storePort, int promotionPort) throws IOException {
+    this.name = name;
+    List<Integer> ports = freePorts();
+    callers = ports.get(0);
+    probes = ports.get(1);
+    fleet = ports.get(2);
+    log = folder.resolve(name + ".log");
+    settings = folder.resolve(name + ".toml");
+    String text =
+        Files.readString(root.resolve("deploy/edge.toml"))
+            .replace("{{node_name|json}}", quote(name))
+            .replace("{{ip|json}}", quote("127.0.0.1"))
+            .replace("{{zone|json}}", quote("a"))
+            .replace("{{limits.cpu_quota}}", "0.51")
+            .replace("{{listen_addrs.front|json}}", quote("127.0.0.1:" + callers))
+            .replace("{{listen_addrs.readiness|json}}", quote("127.0.0.1:" + probes))
+            .replace("{{internal_ports.0}}", String.valueOf(fleet))
+            .replace("{{platform.address|json}}", quote("127.0.0.1:" + storePort))
+            .replace("{{cloud_api.address|json}}", quote("127.0.0.1:" + promotionPort))
+            .replace("{{bounds.config_apply_ms}}", "3000")
+            .replace("{{bounds.grace_s}}", "6");
+    Files.writeString(settings, text);
+    String command =
+        Files.readAllLines(root.resolve("deploy/system.toml")).stream()
+            .filter(line -> line.startsWith("run = "))
+            .map(line -> line.substring(line.indexOf('"') + 1, line.lastIndexOf('"')))
+            .findFirst()
+            .orElseThrow();
+    ProcessBuilder builder = new ProcessBuilder(command.split(" "));
+    builder.directory(root.toFile());
+    builder.environment().put("POLLENSPAR_BOOT", settings.toString());
+    builder.redirectErrorStream(true);
+    builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+    process = builder.start();
+  }
+
+  private static String quote(String text) {
+    return "\"" + text + "\"";
+  }
+
+  private static List<Integer> freePorts() throws IOException {
+    List<ServerSocket> held = new ArrayList<>();
+    List<Integer> ports = new ArrayList<>();
+    for (int i = 0; i < 3; i++) {
+      ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+      held.add(socket);
+      ports.add(socket.getLocalPort());
+    }
+    for (ServerSocket socket : held) {
+      socket.close();
+    }
+    return ports;
+  }
+
+  /** Waits until the readiness probe succeeds; returns false if it doesn't within 20 s. */
+  boolean awaitReady() throws InterruptedException {
+    for (int i = 0; i < 200; i++) {
+      if (ready()) {
+        return true;
+      }
+      Thread.sleep(100);
+    }
+    return false;
+  }
+
+  private boolean ready() {
+    try {
+      HttpURLConnection connection =
+          (HttpURLConnection)
+              URI.create("http://127.0.0.1:" + probes + "/pollenspar/readyz").toURL().openConnection();
+      connection.setConnectTimeout(1_000);
+      connection.setReadTimeout(1_000);
+      return connection.getResponseCode() == HttpURLConnection.HTTP_OK;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  long pid() {
+    return process.pid();
+  }
+
+  /** Sends a signal to this process, such as STOP. */
+  void signal(String name) throws IOException, InterruptedException {
+    new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().waitFor();
+  }
+
+  @Override
+  public void close() {
+    process.destroyForcibly();
+    try {
+      process.waitFor(5, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
