--- a/review/lib/Deployment.java
+++ b/review/lib/Deployment.java
@@ -29,6 +29,9 @@
   private final Path root;
   private Platform platform;
 
+  /** Field sync_replicas of the services that are added from now on. */
+  int syncReplicas;
+
   /** Creates a deployment without services; {@code arguments} are the root and the case's folder. */
   Deployment(String[] arguments) throws IOException {
     root = Path.of(arguments[0]).toAbsolutePath();
@@ -42,7 +45,15 @@
   Group service(String name, long term, long firstNumber) throws IOException {
     Group group =
         new Group(
-            name, 3, term, firstNumber, REPLICATION_LAG_MS, MAX_CONNECTIONS, store, record);
+            name,
+            3,
+            term,
+            firstNumber,
+            REPLICATION_LAG_MS,
+            MAX_CONNECTIONS,
+            syncReplicas,
+            store,
+            record);
     groups.add(group);
     return group;
   }
@@ -71,8 +82,8 @@
       serviceTexts.add(
           String.format(
               "{\"name\":\"%s\",\"health_path\":\"/healthz\",\"max_connections\":%d,"
-                  + "\"protocol\":\"h1\",\"tls\":false,\"sync_replicas\":0}",
-              group.service, MAX_CONNECTIONS));
+                  + "\"protocol\":\"h1\",\"tls\":false,\"sync_replicas\":%d}",
+              group.service, MAX_CONNECTIONS, syncReplicas));
     }
     store.write(
         "op/config",
--- a/review/lib/Group.java
+++ b/review/lib/Group.java
@@ -18,21 +18,27 @@
 
 /**
  * Stand-in of a database service: a primary and its replicas, with the wire protocol of
- * PROTOCOL.md. Lines end with CR LF. Each commit that writes gets the next number; replicas apply
- * it later. All databases of a group share one lock, and one log in order of the commits.
+ * PROTOCOL.md. Lines end with CR LF. Each commit that writes gets the next number; replicas receive
+ * it within some milliseconds and apply it later. With synchronous replication, a commit is
+ * acknowledged once one replica has received it. All databases of a group share one lock.
  */
 final class Group {
   private static final long HANDSHAKE_MS = 12;
   private static final long WORK_MS = 5;
   private static final long PROMOTE_MS = 600;
   private static final long HEARTBEAT_MS = 1_200;
+  private static final long REPLICATION_POLL_MS = 3;
+
+  /** Heartbeats without which the store's entry of a database ends. */
+  private static final int MISSED_HEARTBEATS = 3;
 
   /** A statement of a client that a database ran. */
   record Run(
       long atMillis, String database, String id, String text, long term, long applied, String row) {}
 
   /** A commit that wrote: its number in the log and the statement's id. */
-  record Commit(String id, long term, long number, Map<String, String> writes) {}
+  record Commit(
+      String id, long term, long number, Map<String, String> writes, long receivableNanos) {}
 
   final String service;
   final List<Database> databases = new ArrayList<>();
@@ -42,6 +48,8 @@
   private final Store store;
   private final long lagMillis;
   private final int maxConnections;
+  private final int syncReplicas;
+  private final long firstNumber;
   private long newestTerm;
 
   /**
@@ -49,6 +57,7 @@
    *
    * @param term term of the primary
    * @param firstNumber number of the last commit in the log at the start
+   * @param syncReplicas replicas that must have received a commit before it is acknowledged
    */
   Group(
       String service,
@@ -57,12 +66,15 @@
       long firstNumber,
       long lagMillis,
       int maxConnections,
+      int syncReplicas,
       Store store,
       Record record)
       throws IOException {
     this.service = service;
     this.lagMillis = lagMillis;
     this.maxConnections = maxConnections;
+    this.syncReplicas = syncReplicas;
+    this.firstNumber = firstNumber;
     this.store = store;
     this.record = record;
     this.newestTerm = term;
@@ -76,6 +88,7 @@
     for (Database database : databases) {
       database.begin();
     }
+    Link.daemon("replicate", this::replicate);
   }
 
   Database database(String id) {
@@ -95,14 +108,11 @@
           synchronized (this) {
             if (chosen.running && !chosen.primary) {
               newestTerm++;
-              record.line("promoted " + id + " term " + newestTerm + " at " + chosen.applied);
-              chosen.primary = true;
-              chosen.term = newestTerm;
+              record.line("promoted " + id + " term " + newestTerm + " at " + chosen.received());
+              chosen.lead(newestTerm);
               for (Database other : databases) {
                 if (other != chosen && other.running) {
-                  other.primary = false;
-                  other.term = newestTerm;
-                  other.applied = Math.min(other.applied, chosen.applied);
+                  other.follow(chosen);
                 }
               }
             }
@@ -123,19 +133,82 @@
   /** One database. */
   final class Database {
     final String id;
-    private final ServerSocket listener;
+    private final int port;
+    private volatile ServerSocket listener;
     private final Map<String, String> items = new HashMap<>();
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
     boolean primary;
     boolean running = true;
     boolean draining;
+
+    /** Whether it receives nothing from the primary. */
+    boolean deaf;
+
     long term;
     long applied;
+    final List<Commit> log = new ArrayList<>();
     private long sequence;
+    private volatile long beatNanos;
 
     Database(String id) throws IOException {
       this.id = id;
       this.listener = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
+      this.port = listener.getLocalPort();
+    }
+
+    /** Returns the number of the last commit that was received. */
+    long received() {
+      return firstNumber + log.size();
+    }
+
+    private void applyUpTo(long number) {
+      while (applied < number) {
+        items.putAll(log.get((int) (applied - firstNumber)).writes());
+        applied++;
+      }
+    }
+
+    private void lead(long newTerm) {
+      applyUpTo(received());
+      primary = true;
+      term = newTerm;
+    }
+
+    /** Becomes a replica of a new primary; commits that the primary lacks are rolled back. */
+    private void follow(Database leader) {
+      primary = false;
+      term = leader.term;
+      int common = 0;
+      while (common < Math.min(log.size(), leader.log.size())
+          && log.get(common).id().equals(leader.log.get(common).id())) {
+        common++;
+      }
+      if (common < log.size()) {
+        record.line(id + " rolls back " + (log.size() - common) + " commits");
+        log.subList(common, log.size()).clear();
+        items.clear();
+        applied = firstNumber;
+        applyUpTo(received());
+      }
+    }
+
+    private void receive(Database leader, long nowNanos) {
+      for (int i = log.size(); i < leader.log.size(); i++) {
+        if (leader.log.get(i).receivableNanos() - nowNanos > 0) {
+          return;
+        }
+        log.add(leader.log.get(i));
+      }
+    }
+
+    private void applyOld(long nowNanos) {
+      long number = applied;
+      while (number < received()
+          && nowNanos - log.get((int) (number - firstNumber)).receivableNanos()
+              >= lagMillis * 1_000_000) {
+        number++;
+      }
+      applyUpTo(number);
     }
 
     void begin() {
@@ -157,6 +230,7 @@
           return;
         }
         sequence++;
+        beatNanos = System.nanoTime();
         store.write(
             "servers/" + id,
             String.format(
@@ -164,7 +238,7 @@
                     + "\"config_version\":\"v1\",\"capacity\":3,\"state\":\"%s\","
                     + "\"warmup_left_ms\":0,\"db_role\":\"%s\",\"sequence\":%d,\"born\":%d}",
                 service,
-                listener.getLocalPort(),
+                port,
                 draining ? "draining" : "ready",
                 primary ? "primary" : "replica",
                 sequence,
@@ -172,21 +246,45 @@
       }
     }
 
-    /** Ends the database as a crash of its process does. */
-    void crash() {
+    /** Ends the database as a crash of its process does; its entry ends some heartbeats later. */
+    void crash() throws IOException {
       synchronized (Group.this) {
         running = false;
-        primary = false;
+        listener.close();
       }
-      record.line("crashed " + id);
-      close(listener);
+      record.line("crashed " + id + " at " + received());
       connections.forEach(Group::close);
+      Link.daemon(
+          "entry",
+          () -> {
+            sleep(MISSED_HEARTBEATS * HEARTBEAT_MS - (System.nanoTime() - beatNanos) / 1_000_000);
+            synchronized (Group.this) {
+              if (!running) {
+                store.delete("servers/" + id);
+              }
+            }
+          });
+    }
+
+    /** Starts again with its log, as a replica if another database was promoted meanwhile. */
+    void restart() throws IOException {
+      synchronized (Group.this) {
+        listener = new ServerSocket(port, 200, InetAddress.getLoopbackAddress());
+        running = true;
+        Database leader = leader();
+        if (leader != null && leader != this) {
+          follow(leader);
+        }
+        record.line("started again " + id + " as " + (primary ? "primary" : "replica"));
+      }
+      begin();
     }
 
     private void accept() {
+      ServerSocket open = listener;
       while (true) {
         try {
-          Socket socket = listener.accept();
+          Socket socket = open.accept();
           socket.setTcpNoDelay(true);
           connections.add(socket);
           Link.daemon("serve", () -> serve(socket));
@@ -223,6 +321,9 @@
         String line = readLine(in);
         while (line != null && !line.startsWith("TERMINATE")) {
           String answer = session.handle(line);
+          if (!running) {
+            return;
+          }
           send(out, answer);
           line = readLine(in);
         }
@@ -254,11 +355,36 @@
         if (!parts[1].equals("-")) {
           sleep(WORK_MS);
         }
+        String answer;
+        long number;
         synchronized (Group.this) {
+          if (!running) {
+            return "";
+          }
+          long before = applied;
           String result = conditional(parts[1], parts[2], word);
           String state = failed ? "E" : open ? "T" : "I";
-          return result + "\r\nREADY " + state + " " + position() + "\r\n";
+          answer = result + "\r\nREADY " + state + " " + position() + "\r\n";
+          number = primary && applied > before ? applied : 0;
+        }
+        return number == 0 || synchronouslyReceived(number) ? answer : "";
+      }
+
+      /** Waits until enough replicas have received a commit; false if this database has ended. */
+      private boolean synchronouslyReceived(long number) {
+        while (running) {
+          synchronized (Group.this) {
+            long count =
+                databases.stream()
+                    .filter(each -> each != Database.this && each.received() >= number)
+                    .count();
+            if (count >= syncReplicas) {
+              return running;
+            }
+          }
+          sleep(REPLICATION_POLL_MS);
         }
+        return false;
       }
 
       private String conditional(String statement, String text, String word) {
@@ -319,7 +445,9 @@
             + (primary ? "primary " : "replica ")
             + term
             + " "
-            + position()
+            + term
+            + "."
+            + received()
             + " 0 0 0 "
             + connections.size()
             + "\r\nCOMPLETE -";
@@ -381,14 +509,14 @@
         if (uncommitted.isEmpty()) {
           return;
         }
-        Map<String, String> writes = Map.copyOf(uncommitted);
+        long nowNanos = System.nanoTime() + 1_000_000;
+        Commit done =
+            new Commit(statement, term, received() + 1, Map.copyOf(uncommitted), nowNanos);
         uncommitted.clear();
-        items.putAll(writes);
-        applied++;
-        Commit done = new Commit(statement, term, applied, writes);
+        log.add(done);
+        applyUpTo(received());
         commits.add(done);
         record.line("commit at " + id + " " + position() + ": " + statement);
-        replicate(Database.this, done);
       }
 
       private void end() {
@@ -399,22 +527,31 @@
     }
   }
 
-  /** Applies a commit at the replicas after their lag, in order. */
-  private void replicate(Database from, Commit commit) {
-    Link.daemon(
-        "replicate",
-        () -> {
-          sleep(lagMillis);
-          synchronized (this) {
-            for (Database each : databases) {
-              boolean next = each != from && each.running && !each.primary;
-              if (next && each.term == commit.term() && each.applied < commit.number()) {
-                each.items.putAll(commit.writes());
-                each.applied = commit.number();
-              }
+  /** Returns the running primary of the newest term; null if there is none. */
+  private Database leader() {
+    return databases.stream()
+        .filter(each -> each.running && each.primary && each.term == newestTerm)
+        .findFirst()
+        .orElse(null);
+  }
+
+  /** Lets the replicas receive the primary's commits, and apply them after their lag. */
+  private void replicate() {
+    while (true) {
+      sleep(REPLICATION_POLL_MS);
+      synchronized (this) {
+        long now = System.nanoTime();
+        Database leader = leader();
+        for (Database each : databases) {
+          if (each.running && !each.primary) {
+            if (leader != null && !each.deaf) {
+              each.receive(leader, now);
             }
+            each.applyOld(now);
           }
-        });
+        }
+      }
+    }
   }
 
   static void send(OutputStream out, String text) throws IOException {
