--- a/review/lib/Group.java
+++ b/review/lib/Group.java
@@ -24,7 +24,6 @@
  */
 final class Group {
   private static final long HANDSHAKE_MS = 12;
-  private static final long WORK_MS = 5;
   private static final long PROMOTE_MS = 600;
   private static final long HEARTBEAT_MS = 1_200;
   private static final long REPLICATION_POLL_MS = 3;
@@ -52,6 +51,9 @@
   private final long firstNumber;
   private long newestTerm;
 
+  /** How long a read, a write or a commit of a client takes. */
+  volatile long workMillis = 5;
+
   /**
    * Starts a service whose first database is the primary, and keeps its entries in the store.
    *
@@ -353,7 +355,7 @@
         }
         String word = parts[2].split(" ")[0];
         if (!parts[1].equals("-")) {
-          sleep(WORK_MS);
+          sleep(workMillis);
         }
         String answer;
         long number;
--- a/review/lib/Host.java
+++ b/review/lib/Host.java
@@ -90,7 +90,8 @@
     return false;
   }
 
-  private boolean ready() {
+  /** Asks once, as the platform's balancer does each second. */
+  boolean ready() {
     try {
       HttpURLConnection connection =
           (HttpURLConnection)
@@ -103,11 +104,15 @@
     }
   }
 
+  boolean alive() {
+    return process.isAlive();
+  }
+
   long pid() {
     return process.pid();
   }
 
-  /** Sends a signal to this process, such as STOP. */
+  /** Sends a signal to this process, such as TERM. */
   void signal(String name) throws IOException, InterruptedException {
     new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().waitFor();
   }
