--- a/review/4/StoppedHosts.java
+++ b/review/4/StoppedHosts.java
@@ -20,7 +20,7 @@
   private static final int STOPPED = 5;
   private static final long GRACE_MS = 6_000;
   private static final long WORK_MS = 30;
-  private static final long OPERATION_INTERVAL_MS = 3;
+  private static final int OPERATIONS_PER_SECOND = 52 * HOSTS;
 
   /** The end of a request as its client saw it. */
   private record Cut(String id, Host host, long sentMillis, long endedMillis, String reason) {}
@@ -97,13 +97,15 @@
 
   private void traffic(ExecutorService clients) {
     Random random = new Random(7);
+    long startNanos = System.nanoTime();
     for (int i = 0; !ended; i++) {
       List<Host> targets = targets();
       Host host = targets.get(random.nextInt(targets.size()));
       String id = "op-" + i;
       clients.execute(() -> operation(host, id));
+      long dueNanos = startNanos + 1_000_000_000L * (i + 1) / OPERATIONS_PER_SECOND;
       try {
-        Thread.sleep(OPERATION_INTERVAL_MS);
+        TimeUnit.NANOSECONDS.sleep(dueNanos - System.nanoTime());
       } catch (InterruptedException e) {
         return;
       }
