--- a/review/lib/Host.java
+++ b/review/lib/Host.java
@@ -8,7 +8,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -16,6 +19,11 @@
  * file's command and settings from its template.
  */
 final class Host implements AutoCloseable {
+  private static final int FIRST_PORT = 20_000;
+  private static final int PORTS = 12_000;
+  private static final Random RANDOM = new Random();
+  private static final Set<Integer> USED_PORTS = new HashSet<>();
+
   final String name;
   final int callers;
   final int probes;
@@ -65,20 +73,30 @@
     return "\"" + text + "\"";
   }
 
-  private static List<Integer> freePorts() throws IOException {
-    List<ServerSocket> held = new ArrayList<>();
+  /**
+   * Returns ports that are free now. They lie below those that the system gives to outgoing
+   * connections, so that none is taken before the program opens it.
+   */
+  private static synchronized List<Integer> freePorts() {
     List<Integer> ports = new ArrayList<>();
-    for (int i = 0; i < 3; i++) {
-      ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-      held.add(socket);
-      ports.add(socket.getLocalPort());
-    }
-    for (ServerSocket socket : held) {
-      socket.close();
+    while (ports.size() < 3) {
+      int port = FIRST_PORT + RANDOM.nextInt(PORTS);
+      if (!USED_PORTS.contains(port) && free(port)) {
+        USED_PORTS.add(port);
+        ports.add(port);
+      }
     }
     return ports;
   }
 
+  private static boolean free(int port) {
+    try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+      return socket.isBound();
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
   /** Waits until the readiness probe succeeds; returns false if it doesn't within 20 s. */
   boolean awaitReady() throws InterruptedException {
     for (int i = 0; i < 200; i++) {
