core: the revocation of a primary is a class of its own

One difference: a change that has ended while its intent was written no longer begins the revocation.

--- a/core/src/main/java/org/pollenspar/core/process/PrimaryChange.java
+++ b/core/src/main/java/org/pollenspar/core/process/PrimaryChange.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -14,11 +13,8 @@
  * Replaces the primary of one group.
  *
  * <ol>
- *   <li>Write the intent to replace the primary into the table, then end the shared lease, so that
- *       no host can renew its {@link Confirmation} without reading the intent.
- *   <li>Ask each member to stop using the old primary; of members that do not answer, wait until
- *       their confirmations have expired. For a member that was suspended earlier, the wait counts
- *       from the moment this host saw that the member could not renew its confirmation any more.
+ *   <li>Write the intent to replace the primary into the table.
+ *   <li>Wait until no member uses the old primary any more; see {@link PrimaryRevocation}.
  *   <li>If the old primary was only unreachable and answers again, publish it again.
  *   <li>Otherwise step it down if it answers, and let the replicas receive the rest of its log.
  *   <li>Promote the most advanced database.
@@ -30,8 +26,6 @@
  * could acknowledge writes.
  */
 final class PrimaryChange {
-  private static final long CONFIRMATION_EXPIRY_MS = Confirmation.VALID_MS + Confirmation.MARGIN_MS;
-  private static final long REVOKE_RETRY_MS = 500;
   private static final long CATCH_UP_MS = 1_500;
   private static final long POLL_MS = 100;
   private static final long PROMOTION_TIMEOUT_MS = 5_000;
@@ -44,15 +38,13 @@
   private final long fence;
   private final boolean keepIfRecovered;
   private final Consumer<Boolean> done;
-  private final Set<String> pending = new HashSet<>();
   private final Map<String, DatabaseControl.DatabaseStatus> statuses = new HashMap<>();
   private final long startedNanos;
   private long lateCallsUntilNanos;
   private @Nullable String promoted;
   private long promotedNanos;
   private long intentRevision;
-  private long revokedNanos;
-  private boolean allRevoked;
+  private @Nullable PrimaryRevocation revocation;
   private boolean ended;
 
   /**
@@ -98,8 +90,18 @@
         intent,
         old.revision(),
         reply -> {
+          if (ended) {
+            return;
+          }
           intentRevision = reply.revision();
-          endSharedLease();
+          revocation =
+              new PrimaryRevocation(
+                  context,
+                  group(),
+                  intentRevision,
+                  this::revokedByAllMembers,
+                  failure -> end(false, failure));
+          revocation.start();
         });
   }
 
@@ -123,113 +125,17 @@
             });
   }
 
-  private void endSharedLease() {
-    long lease = context.table().sharedLease();
+  private void revokedByAllMembers(long waitedMillis, Set<String> unanswered) {
     context
-        .store()
-        .endLease(
-            lease,
-            reply -> {
-              boolean over = reply.done() || reply.status() == CoordinationStore.Status.NOT_FOUND;
-              if (!over) {
-                end(false, "the shared lease could not be ended: " + reply.status());
-                return;
-              }
-              revokedNanos = context.clocks().steadyNanos();
-              readMembers();
-            });
-  }
-
-  /** Reads the members from the store, since this host's table may lack a recent registration. */
-  private void readMembers() {
-    context
-        .store()
-        .range(
-            ControlKeys.PREFIX,
-            reply -> {
-              if (!reply.done()) {
-                end(false, "the members could not be read: " + reply.status());
-                return;
-              }
-              context.table().load(reply.items(), reply.revision());
-              List<Member> members = List.copyOf(context.table().members());
-              members.forEach(member -> pending.add(member.name()));
-              members.forEach(this::revoke);
-              pollRevocations();
-            });
-  }
-
-  private void revoke(Member member) {
-    if (ended || allRevoked || !pending.contains(member.name())) {
-      return;
-    }
-    if (confirmationVoid(member)) {
-      revocationComplete(member);
-      return;
-    }
-    context
-        .messages()
-        .revoke(
-            member,
+        .listener()
+        .changed(
+            "group_released",
             group(),
-            intentRevision,
-            revocationComplete -> {
-              if (revocationComplete) {
-                revocationComplete(member);
-              } else {
-                context.timers().after(REVOKE_RETRY_MS, () -> revoke(member));
-              }
-            });
-  }
-
-  /**
-   * Returns whether the table shows that a member no longer uses the old primary. A member that
-   * registers again, after a start or a suspension, has read the intent; one is removed only after
-   * its confirmation has expired or when it leaves. A suspension alone does not show this.
-   */
-  private boolean confirmationVoid(Member member) {
-    @Nullable Member now = context.table().member(member.name());
-    boolean registeredLater =
-        context.table().revision(ControlKeys.member(member.name())) > intentRevision;
-    return now == null || (registeredLater && !now.suspended());
-  }
-
-  private void revocationComplete(Member member) {
-    pending.remove(member.name());
-    checkRevocations();
-  }
-
-  private void pollRevocations() {
-    checkRevocations();
-    if (!ended && !allRevoked) {
-      context.timers().after(POLL_MS, this::pollRevocations);
-    }
-  }
-
-  /** Counts from the end of the shared lease, or from an earlier last possible renewal. */
-  private boolean confirmationExpired(String member) {
-    long withoutConfirmation =
-        Math.max(millisSince(revokedNanos), context.table().millisSinceLastPossibleRenewal(member));
-    return withoutConfirmation >= CONFIRMATION_EXPIRY_MS && !context.mayNotKnowThisHost(member);
-  }
-
-  private void checkRevocations() {
-    if (ended || allRevoked) {
-      return;
-    }
-    long waited = millisSince(revokedNanos);
-    Set<String> awaited = new HashSet<>(pending);
-    pending.removeIf(this::confirmationExpired);
-    if (pending.isEmpty()) {
-      allRevoked = true;
-      context
-          .listener()
-          .changed("group_released", group(), "after " + waited + " ms, no answer from " + awaited);
-      if (keepIfRecovered) {
-        keepOrReplace(context.clocks().steadyNanos());
-      } else {
-        stepDown();
-      }
+            "after " + waitedMillis + " ms, no answer from " + unanswered);
+    if (keepIfRecovered) {
+      keepOrReplace(context.clocks().steadyNanos());
+    } else {
+      stepDown();
     }
   }
 
@@ -488,6 +394,9 @@
       return;
     }
     ended = true;
+    if (revocation != null) {
+      revocation.cancel();
+    }
     context
         .listener()
         .changed(
