core, edge: a replica whose registration has lapsed is waited for in synchronous groups

One replica receives nothing; the primary and the other replica crash. The replica that received nothing is promoted 13 ms after the registration of the crashed one has lapsed, while that replica is still down with its log.

Cause: PrimaryChange waits for the status of every replica, but took as "every" those registered at that moment. A registration lapses after three missed heartbeats; the log comes back with the database. Evidence: the event "promoting" follows the lapse at once in the log of the holder of the failover lease, with one status known. Ruled out: a replica that is back empty (it was down for two more seconds), an earlier promotion call (none was made).

Change: ReplicaSet is the set of databases that may hold an acknowledged write. The holder of the failover lease keeps it in the store, each host remembers the databases that it saw lapse. A database leaves it when its successor has its address and log, or when another replica has received what the primary held after the database had ended (ReplicaSetRecorder). A change waits for the rest unless the old primary reports its position, and asks the old primary again meanwhile: it stays, or is promoted again if no other database has its log. Before, a primary that came back during the wait was ignored for as long as the wait lasted. Groups without synchronous replication write nothing more to the store; a change of theirs now asks the old primary again too while no other database answers.

The events promoting (answers of all databases), promotion_waits and replicas_recorded show what a change knew.

--- a/core/src/main/java/org/pollenspar/core/process/ControlContext.java
+++ b/core/src/main/java/org/pollenspar/core/process/ControlContext.java
@@ -34,4 +34,10 @@
     long own = table.revision(ControlKeys.member(holder));
     return member == null || member.suspended() || table.revision(ControlKeys.member(name)) < own;
   }
+
+  /** Returns the recorded databases of a group and those that this host has seen beside them. */
+  ReplicaSet replicas(String group) {
+    return ReplicaSet.decode(table.value(ControlKeys.replicas(group)))
+        .with(databases.lapsed(group), databases.candidates(group));
+  }
 }
--- a/core/src/main/java/org/pollenspar/core/process/ControlKeys.java
+++ b/core/src/main/java/org/pollenspar/core/process/ControlKeys.java
@@ -20,6 +20,7 @@
 
   private static final String MEMBER = PREFIX + "member/";
   private static final String PRIMARY = PREFIX + "primary/";
+  private static final String REPLICAS = PREFIX + "replicas/";
   private static final int MAX_PROCESSOR_PERMILLE = 1_000_000;
 
   /** Counted for a member whose record states no processor share. */
@@ -38,6 +39,16 @@
     return PRIMARY + group;
   }
 
+  /** Returns the key of the {@link ReplicaSet} of a group with synchronous replication. */
+  static String replicas(String group) {
+    return REPLICAS + group;
+  }
+
+  /** Returns whether a key is that of a {@link ReplicaSet}. */
+  static boolean isReplicas(String key) {
+    return key.startsWith(REPLICAS);
+  }
+
   public static boolean isMember(String key) {
     return key.startsWith(MEMBER);
   }
--- a/core/src/main/java/org/pollenspar/core/process/DatabaseControl.java
+++ b/core/src/main/java/org/pollenspar/core/process/DatabaseControl.java
@@ -19,10 +19,12 @@
   /**
    * A registered database.
    *
+   * @param address IP address and port
    * @param claimsPrimary whether its registration names it as the primary
    * @param answerAgeMillis time since it last answered this host; -1 if never
    */
-  record Candidate(String id, boolean draining, boolean claimsPrimary, long answerAgeMillis) {}
+  record Candidate(
+      String id, String address, boolean draining, boolean claimsPrimary, long answerAgeMillis) {}
 
   /** Returns the names of the groups in the configuration. */
   Collection<String> groups();
@@ -30,6 +32,12 @@
   /** Returns the databases that are registered for a group. */
   Collection<Candidate> candidates(String group);
 
+  /**
+   * Returns the databases of a group with synchronous replication whose registration has lapsed,
+   * unless a {@link ReplicaSet} that was recorded later says that they were removed.
+   */
+  Collection<Candidate> lapsed(String group);
+
   /** Returns how many replicas of a group receive a write before it is acknowledged. */
   int syncReplicas(String group);
 
--- a/core/src/main/java/org/pollenspar/core/process/FailoverCoordinator.java
+++ b/core/src/main/java/org/pollenspar/core/process/FailoverCoordinator.java
@@ -52,6 +52,7 @@
   private final ConfirmationRenewer renewer;
   private final long takeoverDelayMillis;
   private final FailedMemberRemover memberRemover;
+  private final ReplicaSetRecorder replicaSets;
   private final Map<String, GroupState> groups = new HashMap<>();
   private boolean acquiring;
   private boolean stopped;
@@ -107,6 +108,7 @@
     this.renewer = renewer;
     this.takeoverDelayMillis = takeoverDelayMillis;
     this.memberRemover = new FailedMemberRemover(context);
+    this.replicaSets = new ReplicaSetRecorder(context);
     this.renewalSent = ClockReading.now(clocks);
   }
 
@@ -215,6 +217,7 @@
       }
     }
     groups.clear();
+    replicaSets.leaseLost();
     context.timers().after(LEASE_MS, this::acquireLeaseIfFree);
   }
 
@@ -259,6 +262,7 @@
       replace(record, state, "an earlier change did not finish", false);
       return;
     }
+    replicaSets.check(record, fence);
     DatabaseControl.@Nullable Candidate primary = null;
     for (DatabaseControl.Candidate candidate : context.databases().candidates(group)) {
       if (candidate.id().equals(record.database())) {
@@ -418,6 +422,7 @@
     }
     state.failedProbes = 0;
     state.unregistered = false;
+    replicaSets.changeStarted(record.group());
     PrimaryChange change =
         new PrimaryChange(
             context,
--- a/core/src/main/java/org/pollenspar/core/process/FleetTable.java
+++ b/core/src/main/java/org/pollenspar/core/process/FleetTable.java
@@ -4,6 +4,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -30,6 +32,7 @@
   private final Clocks clocks;
   private Runnable onMembersChanged = () -> {};
   private Runnable onFailoverLeaseChanged = () -> {};
+  private Consumer<Set<String>> onReplicasRemoved = ids -> {};
 
   /** Creates an empty table that passes on the records of primaries to an authority. */
   public FleetTable(PrimaryAuthority authority, Clocks clocks) {
@@ -43,6 +46,14 @@
     onFailoverLeaseChanged = failoverLease;
   }
 
+  /**
+   * Sets what receives the ids of databases that were removed from the record of their group's
+   * replicas, because others hold their log.
+   */
+  public void onReplicasRemoved(Consumer<Set<String>> listener) {
+    onReplicasRemoved = listener;
+  }
+
   /** Applies a complete read of the store at a revision; keys that it lacks were deleted. */
   public void load(Collection<CoordinationStore.Item> all, long revision) {
     Map<String, CoordinationStore.Item> fresh = new HashMap<>();
@@ -73,6 +84,8 @@
       if (record != null) {
         authority.update(record);
       }
+    } else if (ControlKeys.isReplicas(item.key()) && !item.deleted()) {
+      onReplicasRemoved.accept(ReplicaSet.decode(item.value()).removed());
     } else if (item.key().equals(ControlKeys.FAILOVER_LEASE)) {
       onFailoverLeaseChanged.run();
     }
--- a/core/src/main/java/org/pollenspar/core/process/PrimaryChange.java
+++ b/core/src/main/java/org/pollenspar/core/process/PrimaryChange.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.pollenspar.core.connection.Position;
@@ -17,13 +18,16 @@
  *   <li>Wait until no member uses the old primary any more; see {@link PrimaryRevocation}.
  *   <li>If the old primary was only unreachable and answers again, publish it again.
  *   <li>Otherwise step it down if it answers, and let the replicas receive the rest of its log.
- *   <li>Promote the most advanced database.
+ *   <li>Promote the most advanced database. With synchronous replication, first wait until the old
+ *       primary or all databases of the {@link ReplicaSet} have reported their positions. If only
+ *       the old primary has all of its log, promote it again.
  *   <li>Once it is the primary, publish it in the table.
  * </ol>
  *
- * <p>Invariant: no database is promoted while a host may use the old primary. Promoting first and
+ * <p>Invariants: no database is promoted while a host may use the old primary. Promoting first and
  * revoking later would be faster by some hundred milliseconds, but during that time two primaries
- * could acknowledge writes.
+ * could acknowledge writes. And with synchronous replication, the promoted database has all
+ * acknowledged writes.
  */
 final class PrimaryChange {
   private static final long CATCH_UP_MS = 1_500;
@@ -45,6 +49,7 @@
   private long promotedNanos;
   private long intentRevision;
   private @Nullable PrimaryRevocation revocation;
+  private List<String> reportedWait = List.of();
   private boolean ended;
 
   /**
@@ -132,11 +137,7 @@
             "group_released",
             group(),
             "after " + waitedMillis + " ms, no answer from " + unanswered);
-    if (keepIfRecovered) {
-      keepOrReplace(context.clocks().steadyNanos());
-    } else {
-      stepDown();
-    }
+    askOldPrimary();
   }
 
   /** Publishes the old primary again if it leads; waits for a time until it is registered. */
@@ -186,6 +187,18 @@
             });
   }
 
+  /**
+   * Asks the old primary again, which may be back with its log. It is kept only if this change has
+   * not called for another database, since that call may still take effect.
+   */
+  private void askOldPrimary() {
+    if (keepIfRecovered && promoted == null) {
+      keepOrReplace(context.clocks().steadyNanos());
+    } else {
+      stepDown();
+    }
+  }
+
   /** Polls the databases until one has received everything that the old primary has. */
   private void collectStatuses(@Nullable Position target, long sinceNanos) {
     if (ended) {
@@ -193,7 +206,10 @@
     }
     List<DatabaseControl.Candidate> asked = new ArrayList<>();
     for (DatabaseControl.Candidate candidate : context.databases().candidates(group())) {
-      boolean unresponsive = candidate.id().equals(old.database()) && target == null;
+      boolean unresponsive =
+          candidate.id().equals(old.database())
+              && target == null
+              && !old.database().equals(promoted);
       if (!unresponsive && (synchronous() || !candidate.draining())) {
         asked.add(candidate);
       }
@@ -201,7 +217,7 @@
     statuses.clear();
     int[] remaining = {asked.size()};
     if (remaining[0] == 0) {
-      context.timers().after(POLL_MS, () -> collectOrGiveUp(target, sinceNanos));
+      context.timers().after(POLL_MS, this::askOldPrimaryOrGiveUp);
     }
     for (DatabaseControl.Candidate candidate : asked) {
       context
@@ -215,63 +231,111 @@
                 }
                 remaining[0]--;
                 if (remaining[0] == 0) {
-                  choose(target, sinceNanos, asked.size());
+                  DatabaseControl.@Nullable DatabaseStatus last = statuses.get(old.database());
+                  choose(last == null ? target : last.received(), sinceNanos);
                 }
               });
     }
   }
 
+  private void askOldPrimaryOrGiveUp() {
+    if (!gaveUp()) {
+      askOldPrimary();
+    }
+  }
+
   private void collectOrGiveUp(@Nullable Position target, long sinceNanos) {
+    if (!gaveUp()) {
+      collectStatuses(target, sinceNanos);
+    }
+  }
+
+  private boolean gaveUp() {
     if (millisSince(startedNanos) > 4 * PROMOTION_TIMEOUT_MS) {
       end(false, "no database of the group answered that can be promoted");
-    } else {
-      collectStatuses(target, sinceNanos);
     }
+    return ended;
   }
 
-  /**
-   * With synchronous replication an acknowledged write may be on a single replica, even on one that
-   * drains. So unless the old primary reports its position, every replica must report its own.
-   */
   private boolean synchronous() {
     return context.databases().syncReplicas(group()) > 0;
   }
 
-  private void choose(@Nullable Position target, long sinceNanos, int asked) {
+  /**
+   * Returns the databases that have not answered although one of them may hold an acknowledged
+   * write that no other has. With synchronous replication, such a write may be on a single replica,
+   * even on one that drains or whose registration has lapsed. So unless the old primary reports its
+   * position, every replica must report its own.
+   */
+  private List<String> awaitedReplicas(@Nullable Position target) {
+    if (!synchronous() || target != null) {
+      return List.of();
+    }
+    List<String> awaited = context.replicas(group()).idsExcept(old.database());
+    awaited.removeAll(statuses.keySet());
+    return awaited;
+  }
+
+  private void choose(@Nullable Position target, long sinceNanos) {
     if (context.clocks().steadyNanos() - lateCallsUntilNanos < 0) {
       context.timers().after(POLL_MS, () -> collectStatuses(target, sinceNanos));
       return;
     }
-    @Nullable String best = null;
     if (publishNewPrimary()) {
       return;
     }
-    for (String database : statuses.keySet()) {
-      boolean replaced = database.equals(old.database());
-      if (!replaced && (best == null || isAhead(database, best))) {
-        best = database;
-      }
-    }
-    DatabaseControl.@Nullable DatabaseStatus chosen = best == null ? null : statuses.get(best);
-    if (best == null || chosen == null) {
-      context.timers().after(POLL_MS, () -> collectOrGiveUp(target, sinceNanos));
+    @Nullable String best = mostAdvancedReplacement();
+    boolean behind = target != null && (best == null || isBehind(best, target));
+    if (behind && millisSince(sinceNanos) < CATCH_UP_MS) {
+      context.timers().after(POLL_MS / 2, () -> collectStatuses(target, sinceNanos));
       return;
     }
-    if (synchronous() && target == null && statuses.size() < asked) {
-      context.timers().after(POLL_MS, () -> collectStatuses(null, sinceNanos));
+    if (behind && (best == null || synchronous())) {
+      // Only the old primary has all acknowledged writes, and the others do not receive them.
+      best = statuses.containsKey(old.database()) ? old.database() : null;
+    }
+    if (best == null) {
+      context.timers().after(POLL_MS, this::askOldPrimaryOrGiveUp);
       return;
     }
-    boolean behind = target != null && chosen.received().compareTo(target) < 0;
-    if (behind && (synchronous() || millisSince(sinceNanos) < CATCH_UP_MS)) {
-      context.timers().after(POLL_MS / 2, () -> collectStatuses(target, sinceNanos));
+    List<String> awaited = awaitedReplicas(target);
+    if (!awaited.isEmpty()) {
+      reportWait(awaited);
+      context.timers().after(POLL_MS, this::askOldPrimary);
       return;
     }
     context
         .listener()
-        .changed("promoting", group(), best + " at " + chosen.received() + ", old at " + target);
+        .changed(
+            "promoting",
+            group(),
+            best + ", old primary at " + target + ", answers " + new TreeMap<>(statuses));
     promote(best);
   }
 
+  private void reportWait(List<String> awaited) {
+    if (!awaited.equals(reportedWait)) {
+      reportedWait = awaited;
+      context
+          .listener()
+          .changed(
+              "promotion_waits",
+              group(),
+              "no answer from " + awaited + ", which may hold acknowledged writes");
+    }
+  }
+
+  private @Nullable String mostAdvancedReplacement() {
+    @Nullable String best = null;
+    for (String database : statuses.keySet()) {
+      boolean replaced = database.equals(old.database());
+      if (!replaced && (best == null || isAhead(database, best))) {
+        best = database;
+      }
+    }
+    return best;
+  }
+
   /**
    * Returns whether a database leads in place of the old primary: in a newer term, or in the same
    * term as a successor that took over the log and the address of the old primary.
@@ -308,6 +372,11 @@
     return true;
   }
 
+  private boolean isBehind(String database, Position target) {
+    DatabaseControl.@Nullable DatabaseStatus status = statuses.get(database);
+    return status == null || status.received().compareTo(target) < 0;
+  }
+
   private boolean isAhead(String one, String other) {
     DatabaseControl.@Nullable DatabaseStatus first = statuses.get(one);
     DatabaseControl.@Nullable DatabaseStatus second = statuses.get(other);
--- a/core/src/test/java/org/pollenspar/core/process/FleetFaults.java
+++ b/core/src/test/java/org/pollenspar/core/process/FleetFaults.java
@@ -40,6 +40,35 @@
     if (membershipFaults == MembershipFaults.BESIDE_FAULTS) {
       scheduleMembershipFault();
     }
+    if (model.synchronous) {
+      scheduleReplicationFault();
+    }
+  }
+
+  /** Schedules a replica that receives nothing, and often a crash of the other two databases. */
+  private void scheduleReplicationFault() {
+    model.time.after(
+        2_000 + random.nextInt(10_000),
+        () -> {
+          FleetModelDatabase deaf = model.databases.get("db" + random.nextInt(3));
+          int length = 500 + random.nextInt(9_000);
+          model.trace.add(model.now() + " deaf " + deaf.id + " for " + length);
+          deaf.deafUntil = model.now() + length;
+          if (random.nextBoolean()) {
+            model.time.after(random.nextInt(2_000), () -> crashOthers(deaf));
+          }
+          scheduleReplicationFault();
+        });
+  }
+
+  private void crashOthers(FleetModelDatabase running) {
+    for (FleetModelDatabase each : model.databases.values()) {
+      if (each != running && random.nextInt(4) > 0) {
+        int length = 500 + random.nextInt(9_000);
+        model.trace.add(model.now() + " crash " + each.id + " for " + length);
+        each.crash(length);
+      }
+    }
   }
 
   /** Schedules the next fault of {@link MembershipFaults#BESIDE_FAULTS}. */
--- a/core/src/test/java/org/pollenspar/core/process/FleetModel.java
+++ b/core/src/test/java/org/pollenspar/core/process/FleetModel.java
@@ -1,7 +1,6 @@
 package org.pollenspar.core.process;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,9 +13,10 @@
  * Simulation of a random history of a fleet: hosts that run the real control classes, a store,
  * three databases of one group, and faults of all of them.
  *
- * <p>Checks two guarantees. No commit is reported as a success if it ran at a database after
- * another one was promoted. No read is reported if it ran at a database that lacked a commit which
- * had been reported before the read was sent.
+ * <p>Checks guarantees. No commit is reported as a success if it ran at a database after another
+ * one was promoted. No read is reported if it ran at a database that lacked a commit which had been
+ * reported before the read was sent. With synchronous replication, a third: no database is promoted
+ * that lacks a commit which was reported.
  */
 final class FleetModel {
   /** Defects of the control classes that the checks must detect. */
@@ -29,16 +29,21 @@
   static final String GROUP = "ledger";
   private static final int HOSTS = 4;
   static final int HISTORY_MS = 60_000;
+  private static final int REPLICATION_MS = 20;
+
+  /** How long a database waits for the receipt of a commit by a replica. */
+  private static final int RECEIPT_TIMEOUT_MS = 1_000;
 
   private final RandomGenerator random;
   private final InjectedDefect injectedDefect;
   private final FleetFaults.MembershipFaults membershipFaults;
   private final int minRenewingMembers;
+  final boolean synchronous;
   final FakeTime time = new FakeTime();
   final ModelStore store;
   final List<ModelHost> hosts = new ArrayList<>();
   final Map<String, FleetModelDatabase> databases = new TreeMap<>();
-  private long reportedCommits;
+  long reportedCommits;
   private int startedHosts;
   String newestPrimary = "db0";
   int promotions;
@@ -53,8 +58,10 @@
       RandomGenerator random,
       InjectedDefect injectedDefect,
       FleetFaults.MembershipFaults membershipFaults,
-      boolean sharedRenewal) {
+      boolean sharedRenewal,
+      boolean synchronous) {
     this.random = random;
+    this.synchronous = synchronous;
     this.injectedDefect = injectedDefect;
     this.membershipFaults = membershipFaults;
     this.minRenewingMembers = sharedRenewal ? 2 : Integer.MAX_VALUE;
@@ -68,10 +75,18 @@
     for (int i = 0; i < HOSTS; i++) {
       startHost();
     }
+    if (synchronous) {
+      replicate();
+    }
     new FleetFaults(this, random, membershipFaults).schedule();
     time.advance(HISTORY_MS);
   }
 
+  private void replicate() {
+    databases.get(newestPrimary).sendLog();
+    time.after(REPLICATION_MS, this::replicate);
+  }
+
   /** Starts a host under a new name. */
   void startHost() {
     ModelHost host = new ModelHost("host" + startedHosts++);
@@ -84,7 +99,7 @@
   }
 
   /** A host that runs the real control classes and statements of a caller. */
-  final class ModelHost implements Clocks, Timers, FleetMessages, DatabaseControl {
+  final class ModelHost implements Clocks, Timers, FleetMessages {
     final String name;
     final Map<String, Long> unreachable = new HashMap<>();
     private final Confirmation confirmation;
@@ -123,11 +138,13 @@
               self,
               this::addToTrace,
               () -> false);
+      ModelDatabaseControl control = new ModelDatabaseControl(FleetModel.this, this);
+      table.onReplicasRemoved(control::forget);
       this.coordinator =
           new FailoverCoordinator(
               connection,
               table,
-              this,
+              control,
               this,
               this::promote,
               this,
@@ -171,7 +188,7 @@
     }
 
     /** Runs a task now, or at the end of the freeze if the host is frozen. */
-    private void deliver(Runnable task) {
+    void deliver(Runnable task) {
       if (now() < frozenUntil) {
         deferredTasks.add(task);
       } else {
@@ -231,7 +248,7 @@
       return () -> cancelled[0] = true;
     }
 
-    private int delay() {
+    int delay() {
       return 1 + random.nextInt(5);
     }
 
@@ -250,7 +267,7 @@
       }
     }
 
-    private boolean reachable(String database) {
+    boolean reachable(String database) {
       return databases.get(database).up() && unreachable.getOrDefault(database, 0L) <= now();
     }
 
@@ -262,12 +279,36 @@
             boolean ran = database.up() && database.primary;
             boolean atReplacedPrimary = ran && !database.id.equals(newestPrimary);
             long position = ran ? ++database.log : 0;
-            time.after(
-                delay(),
-                () -> deliver(() -> committed(database, term, ran, atReplacedPrimary, position)));
+            answerWhenReceived(
+                database,
+                position,
+                RECEIPT_TIMEOUT_MS / REPLICATION_MS,
+                received ->
+                    time.after(
+                        delay(),
+                        () ->
+                            deliver(
+                                () ->
+                                    committed(
+                                        database,
+                                        term,
+                                        ran && received,
+                                        atReplacedPrimary,
+                                        position))));
           });
     }
 
+    /** Passes whether a replica has received a commit in time; at once without synchronization. */
+    private void answerWhenReceived(
+        FleetModelDatabase database, long position, int attempts, Consumer<Boolean> answer) {
+      if (!synchronous || attempts == 0 || database.received(position)) {
+        answer.accept(!synchronous || attempts > 0);
+      } else {
+        time.after(
+            REPLICATION_MS, () -> answerWhenReceived(database, position, attempts - 1, answer));
+      }
+    }
+
     private void committed(
         FleetModelDatabase database,
         long term,
@@ -432,62 +473,5 @@
           other -> reached[0] = other.reachable(database),
           answered -> done.accept(answered && reached[0]));
     }
-
-    @Override
-    public Collection<String> groups() {
-      return List.of(GROUP);
-    }
-
-    @Override
-    public Collection<Candidate> candidates(String group) {
-      return databases.values().stream()
-          .map(each -> new Candidate(each.id, each.draining, each.primary, 1_000))
-          .toList();
-    }
-
-    @Override
-    public int syncReplicas(String group) {
-      return 0;
-    }
-
-    @Override
-    public void status(
-        String group, String database, Consumer<DatabaseControl.@Nullable DatabaseStatus> done) {
-      callDatabase(database, done, each -> {});
-    }
-
-    @Override
-    public void stepDown(
-        String group,
-        String database,
-        long term,
-        Consumer<DatabaseControl.@Nullable DatabaseStatus> done) {
-      callDatabase(
-          database,
-          done,
-          each -> {
-            if (each.term < term) {
-              each.primary = false;
-            }
-          });
-    }
-
-    private void callDatabase(
-        String database,
-        Consumer<DatabaseControl.@Nullable DatabaseStatus> done,
-        Consumer<FleetModelDatabase> action) {
-      FleetModelDatabase target = databases.get(database);
-      if (!reachable(database)) {
-        after(300, () -> done.accept(null));
-        return;
-      }
-      time.after(
-          delay(),
-          () -> {
-            action.accept(target);
-            DatabaseStatus status = target.status();
-            time.after(delay(), () -> deliver(() -> done.accept(status)));
-          });
-    }
   }
 }
--- a/core/src/test/java/org/pollenspar/core/process/FleetModelProperties.java
+++ b/core/src/test/java/org/pollenspar/core/process/FleetModelProperties.java
@@ -29,6 +29,7 @@
               new SplittableRandom(SEED + i),
               injectedDefect,
               FleetFaults.MembershipFaults.NONE,
+              false,
               false);
       model.play();
       found += model.violations.size();
@@ -37,10 +38,17 @@
   }
 
   private static FleetModel play(
-      long seed, FleetFaults.MembershipFaults membershipFaults, boolean sharedRenewal) {
+      long seed,
+      FleetFaults.MembershipFaults membershipFaults,
+      boolean sharedRenewal,
+      boolean synchronous) {
     FleetModel model =
         new FleetModel(
-            new SplittableRandom(seed), InjectedDefect.NONE, membershipFaults, sharedRenewal);
+            new SplittableRandom(seed),
+            InjectedDefect.NONE,
+            membershipFaults,
+            sharedRenewal,
+            synchronous);
     model.play();
     assertEquals(
         List.of(),
@@ -50,6 +58,7 @@
             + ", "
             + membershipFaults
             + (sharedRenewal ? ", shared renewal" : "")
+            + (synchronous ? ", synchronous replication" : "")
             + "\n"
             + String.join("\n", model.trace));
     return model;
@@ -67,8 +76,8 @@
     @ParameterizedTest
     @CsvSource({"20262661, AMONG_FAULTS", "20264030, BESIDE_FAULTS"})
     void regressionSeedsShowNoViolation(long seed, FleetFaults.MembershipFaults membershipFaults) {
-      play(seed, membershipFaults, false);
-      play(seed, membershipFaults, true);
+      play(seed, membershipFaults, false, false);
+      play(seed, membershipFaults, true, false);
     }
 
     @Test
@@ -77,7 +86,8 @@
       long promotions = 0;
       for (int i = 0; i < HISTORIES; i++) {
         for (boolean sharedRenewal : List.of(false, true)) {
-          FleetModel model = play(SEED + i, FleetFaults.MembershipFaults.of(i), sharedRenewal);
+          FleetModel model =
+              play(SEED + i, FleetFaults.MembershipFaults.of(i), sharedRenewal, false);
           commits += model.commits;
           promotions += model.promotions;
         }
@@ -89,6 +99,31 @@
     }
   }
 
+  /** Guards against the promotion of a database that lacks acknowledged writes. */
+  @Nested
+  class SynchronousReplication {
+
+    @Test
+    void keepsAcknowledgedWrites() {
+      long commits = 0;
+      long promotions = 0;
+      for (int i = 0; i < HISTORIES; i++) {
+        FleetModel model = play(SEED + i, FleetFaults.MembershipFaults.of(i), false, true);
+        commits += model.commits;
+        promotions += model.promotions;
+      }
+      System.out.println(
+          HISTORIES
+              + " synchronous histories, "
+              + commits
+              + " commits, "
+              + promotions
+              + " promotions");
+      assertTrue(promotions > HISTORIES, "too few promotions in the histories: " + promotions);
+      assertTrue(commits > 50L * HISTORIES, "too few commits in the histories: " + commits);
+    }
+  }
+
   @Nested
   class InjectedDefects {
 
--- a/core/src/test/java/org/pollenspar/core/process/PrimaryChangeTest.java
+++ b/core/src/test/java/org/pollenspar/core/process/PrimaryChangeTest.java
@@ -37,6 +37,9 @@
   private final class Databases implements DatabaseControl {
     final Map<String, DatabaseStatus> answers = new TreeMap<>();
     final List<String> draining = new ArrayList<>();
+    final Map<String, String> registered =
+        new TreeMap<>(Map.of("p", "10.0.0.1:1", "r1", "10.0.0.2:1", "r2", "10.0.0.3:1"));
+    final Map<String, String> lapsed = new TreeMap<>();
     int syncReplicas;
 
     void at(String id, long number) {
@@ -50,10 +53,28 @@
 
     @Override
     public Collection<Candidate> candidates(String group) {
-      return List.of(
-          new Candidate("p", draining.contains("p"), true, 0),
-          new Candidate("r1", draining.contains("r1"), false, 0),
-          new Candidate("r2", draining.contains("r2"), false, 0));
+      return candidates(registered);
+    }
+
+    @Override
+    public Collection<Candidate> lapsed(String group) {
+      return candidates(lapsed);
+    }
+
+    private Collection<Candidate> candidates(Map<String, String> addresses) {
+      List<Candidate> candidates = new ArrayList<>();
+      addresses.forEach(
+          (id, address) ->
+              candidates.add(new Candidate(id, address, draining.contains(id), id.equals("p"), 0)));
+      return candidates;
+    }
+
+    void lapse(String id) {
+      lapsed.put(id, registered.remove(id));
+    }
+
+    ReplicaSet replicas() {
+      return ReplicaSet.EMPTY.with(List.of(), candidates(GROUP));
     }
 
     @Override
@@ -348,6 +369,108 @@
       assertTrue(steps.contains("promote r1"), steps.toString());
     }
 
+    /**
+     * Guards against the loss of acknowledged writes that only the old primary and a crashed
+     * replica have: the registration of the replica lapses before it is back.
+     */
+    @Test
+    void synchronousGroupWaitsForAReplicaWhoseRegistrationLapses() {
+      databases.syncReplicas = 1;
+      databases.answers.remove("p");
+      databases.answers.remove("r1");
+      change();
+      time.advance(500);
+      databases.lapse("p");
+      databases.lapse("r1");
+      time.advance(3_000);
+      assertTrue(steps.stream().noneMatch(step -> step.startsWith("promote")), steps.toString());
+      databases.registered.put("r1", databases.lapsed.remove("r1"));
+      databases.at("r1", 10);
+      time.advance(2_000);
+      assertTrue(steps.contains("promote r1"), steps.toString());
+    }
+
+    /**
+     * Guards against the same loss if the registration lapsed before this host began the change.
+     */
+    @Test
+    void synchronousGroupWaitsForAReplicaThatAnEarlierHolderRecorded() {
+      databases.syncReplicas = 1;
+      put(ControlKeys.replicas(GROUP), databases.replicas().encode());
+      databases.answers.remove("p");
+      databases.answers.remove("r1");
+      databases.registered.remove("r1");
+      change();
+      time.advance(3_000);
+      assertTrue(steps.stream().noneMatch(step -> step.startsWith("promote")), steps.toString());
+      assertEquals(1, steps.stream().filter("promotion_waits"::equals).count(), steps.toString());
+    }
+
+    /** Guards against a group that stays without a primary although the old one is back. */
+    @Test
+    void synchronousGroupKeepsAPrimaryThatIsBackBeforeItsReplicas() {
+      databases.syncReplicas = 1;
+      databases.answers.remove("p");
+      databases.answers.remove("r1");
+      change(true);
+      time.advance(3_000);
+      databases.at("p", 10);
+      time.advance(1_000);
+      assertTrue(steps.stream().noneMatch(step -> step.startsWith("promote")), steps.toString());
+      assertTrue(steps.contains("done true"), steps.toString());
+    }
+
+    /** Guards against the same after an interrupted change, which does not keep the old primary. */
+    @Test
+    void synchronousGroupPromotesTheOldPrimaryAgainIfNoOtherHasItsLog() {
+      databases.syncReplicas = 1;
+      databases.answers.remove("p");
+      databases.answers.remove("r1");
+      change();
+      time.advance(3_000);
+      databases.at("p", 10);
+      time.advance(3_000);
+      assertTrue(steps.contains("promote p"), steps.toString());
+      assertTrue(steps.contains("done true"), steps.toString());
+    }
+
+    /**
+     * Guards against a replica without acknowledged writes that is promoted over the old primary,
+     * because it answers after the call to promote the old primary.
+     */
+    @Test
+    void synchronousGroupKeepsTheOldPrimaryThatItPromotedAgain() {
+      databases.syncReplicas = 1;
+      databases.answers.remove("r1");
+      databases.answers.remove("r2");
+      change();
+      time.advance(1_800);
+      assertTrue(steps.contains("promote p"), steps.toString());
+      databases.at("r1", 9);
+      databases.at("r2", 8);
+      time.advance(2_000);
+      assertTrue(steps.contains("done true"), steps.toString());
+      assertEquals(
+          List.of("promote p"),
+          steps.stream().filter(step -> step.startsWith("promote ")).toList());
+    }
+
+    /** A database that ends after it has drained hands its log over to a new one at its address. */
+    @Test
+    void synchronousGroupDoesNotWaitForADrainedReplicaThatHasASuccessor() {
+      databases.syncReplicas = 1;
+      databases.draining.add("r1");
+      put(ControlKeys.replicas(GROUP), databases.replicas().encode());
+      databases.answers.remove("p");
+      databases.answers.remove("r1");
+      databases.registered.remove("r1");
+      databases.registered.put("r3", "10.0.0.2:1");
+      databases.at("r3", 10);
+      change();
+      time.advance(2_000);
+      assertTrue(steps.contains("promote r3"), steps.toString());
+    }
+
     @Test
     void synchronousGroupPromotesALeavingReplicaThatIsAhead() {
       databases.syncReplicas = 1;
--- a/edge/src/main/java/org/pollenspar/edge/process/DatabaseDirectory.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/DatabaseDirectory.java
@@ -5,7 +5,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 import org.pollenspar.core.connection.DatabaseEntry;
 import org.pollenspar.core.process.Timers;
@@ -16,6 +18,9 @@
  * <p>A registration may lapse while the store is down, although its database still runs, and return
  * once the store is available again. So a database stays in the directory for a grace time after
  * its registration was removed, and is not removed if it registers again within that time.
+ *
+ * <p>For groups with synchronous replication, databases are remembered after that time too, since
+ * one that crashed may hold the only replica's copy of an acknowledged write.
  */
 final class DatabaseDirectory {
   /** Live databases register again within 2 s after the store has become available. */
@@ -28,9 +33,19 @@
 
   private final Map<String, DatabaseEntry> entries = new HashMap<>();
   private final Map<String, Timers.Timer> removals = new HashMap<>();
+  private final Predicate<String> synchronous;
+
+  /** Databases of groups with synchronous replication that are not registered any more. */
+  private final Map<String, DatabaseEntry> lapsed = new HashMap<>();
 
-  DatabaseDirectory(Timers timers, Consumer<String> onGroupChanged) {
+  /**
+   * Creates an empty directory.
+   *
+   * @param synchronous whether a group has synchronous replication
+   */
+  DatabaseDirectory(Timers timers, Predicate<String> synchronous, Consumer<String> onGroupChanged) {
     this.timers = timers;
+    this.synchronous = synchronous;
     this.onGroupChanged = onGroupChanged;
   }
 
@@ -39,6 +54,7 @@
     if (removal != null) {
       removal.cancel();
     }
+    lapsed.values().removeIf(each -> each.id().equals(entry.id()) || isSuccessor(entry, each));
     @Nullable DatabaseEntry known = entries.put(entry.id(), entry);
     if (known != null && !known.group().equals(entry.group())) {
       onGroupChanged.accept(known.group());
@@ -48,12 +64,34 @@
     }
   }
 
+  /** Returns whether a database has taken over the address and the log of one that has drained. */
+  private static boolean isSuccessor(DatabaseEntry entry, DatabaseEntry old) {
+    return old.draining()
+        && old.group().equals(entry.group())
+        && old.host().equals(entry.host())
+        && old.port() == entry.port();
+  }
+
   void unregistered(String id) {
-    if (entries.containsKey(id) && !removals.containsKey(id)) {
+    @Nullable DatabaseEntry entry = entries.get(id);
+    if (entry != null && !removals.containsKey(id)) {
+      if (synchronous.test(entry.group())) {
+        lapsed.put(id, entry);
+      }
       removals.put(id, timers.after(REGISTRATION_GRACE_MS, () -> remove(id)));
     }
   }
 
+  /** Returns the databases of a group that were registered and have not been forgotten since. */
+  List<DatabaseEntry> lapsed(String group) {
+    return lapsed.values().stream().filter(entry -> entry.group().equals(group)).toList();
+  }
+
+  /** Forgets databases whose registration has lapsed. */
+  void forgetLapsed(Set<String> ids) {
+    lapsed.keySet().removeAll(ids);
+  }
+
   /** Returns whether the database is registered now, that is, not in its grace time. */
   boolean isRegistered(String id) {
     return entries.containsKey(id) && !removals.containsKey(id);
--- a/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
@@ -154,7 +154,8 @@
             dependencies.self(),
             dependencies.log(),
             () -> leaving);
-    this.directory = new DatabaseDirectory(dependencies.timers(), this::databasesChanged);
+    this.directory =
+        new DatabaseDirectory(dependencies.timers(), this::synchronous, this::databasesChanged);
     this.databaseControl =
         new NodeDatabaseControl(
             groupRouters,
@@ -184,9 +185,14 @@
     this.context = sessionContext(DecisionLog.Origin.CALLER);
     this.forwardedContext = sessionContext(DecisionLog.Origin.OTHER_HOST);
     table.listeners(this::membersChanged, failoverCoordinator::acquireLeaseIfFree);
+    table.onReplicasRemoved(directory::forgetLapsed);
     authority.onRecordChanged(this::primaryChanged);
   }
 
+  private boolean synchronous(String group) {
+    return databaseControl.syncReplicas(group) > 0;
+  }
+
   private BrokerClient brokerClient() {
     return new BrokerClient(
         dependencies.self().name(),
--- a/edge/src/main/java/org/pollenspar/edge/process/NodeDatabaseControl.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/NodeDatabaseControl.java
@@ -83,16 +83,28 @@
     @Nullable GroupRouter router = routers.get(group);
     if (router != null) {
       for (ConnectionPool pool : router.pools()) {
-        DatabaseEntry entry = pool.entry();
-        if (directory.isRegistered(entry.id())) {
-          result.add(
-              new Candidate(entry.id(), entry.draining(), entry.primary(), pool.answerAgeMillis()));
+        if (directory.isRegistered(pool.entry().id())) {
+          result.add(candidate(pool.entry(), pool.answerAgeMillis()));
         }
       }
     }
     return result;
   }
 
+  @Override
+  public Collection<Candidate> lapsed(String group) {
+    return directory.lapsed(group).stream().map(entry -> candidate(entry, -1)).toList();
+  }
+
+  private static Candidate candidate(DatabaseEntry entry, long answerAgeMillis) {
+    return new Candidate(
+        entry.id(),
+        entry.host() + ":" + entry.port(),
+        entry.draining(),
+        entry.primary(),
+        answerAgeMillis);
+  }
+
   @Override
   public int syncReplicas(String group) {
     RouteTable.@Nullable Group settings = routes.get().groups().get(group);
