core: a session's last commit is kept for each group

Cause: the session kept one position, the larger of its commits' positions, whichever group they were in. Positions are ordered by term first. The first service was at term 3, the second at term 1, so the commit at the second never replaced the one at the first, and GroupRouter took that one for a position of an older term of the same group, which every current log covers. Evidence: reads at the first service are right; the tests show the required position 1.300 after the commit at 1.301. Ruled out: a host that applied the version late (the reads run at the new service).

Change: CallerSession keeps the last commit by group, for single statements and transactions; a transaction counts for the group in which it was opened. GroupRouter requires the larger of the two positions also if the commit's term is newer than that of the host's samples; before, such a commit was ignored.

--- a/core/src/main/java/org/pollenspar/core/connection/CallerSession.java
+++ b/core/src/main/java/org/pollenspar/core/connection/CallerSession.java
@@ -1,6 +1,8 @@
 package org.pollenspar.core.connection;
 
 import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
 import org.jspecify.annotations.Nullable;
 import org.pollenspar.core.request.Answer;
 import org.pollenspar.core.request.AnswerCode;
@@ -22,8 +24,10 @@
  * <p>Whether a statement runs over connections of this host or at a home host is decided by the
  * {@link StatementExecutor} of its group.
  *
- * <p>The session keeps the position of its last commit in the log, so that later reads on a route
- * with {@link RouteKind#READ_YOUR_WRITES} include it. All methods run on one thread.
+ * <p>The session keeps the position of its last commit in the log of each group, so that later
+ * reads on a route with {@link RouteKind#READ_YOUR_WRITES} include it. A route may move to another
+ * group during the session, and positions in the logs of two groups can't be compared. All methods
+ * run on one thread.
  */
 public final class CallerSession {
   /** Number of statements that may wait behind the one that runs. */
@@ -36,8 +40,15 @@
   private final ArrayDeque<SessionRequest> queued = new ArrayDeque<>();
   private @Nullable SessionRequest current;
   private StatementExecutor.@Nullable OpenTransaction transaction;
+
+  /** Group of the last transaction that was opened; a route may move while one is open. */
+  private String transactionGroup = "";
+
   private StatementExecutor.@Nullable StatementExecution singleStatement;
-  private @Nullable Position lastCommitPosition;
+
+  /** Position of the last commit by group. */
+  private final Map<String, Position> lastCommits = new HashMap<>();
+
   private boolean closed;
   private boolean closing;
   private boolean advancing;
@@ -167,18 +178,15 @@
     if (request.statement() instanceof SessionStatement.Commit) {
       transaction = null;
       if (answer.ok() && open.wrote()) {
-        recordCommit(answer);
+        recordCommit(transactionGroup, answer);
       }
     }
     finish(request, answer);
   }
 
-  private void recordCommit(Answer answer) {
+  private void recordCommit(String group, Answer answer) {
     if (answer.position() != null) {
-      lastCommitPosition =
-          lastCommitPosition == null
-              ? answer.position()
-              : lastCommitPosition.max(answer.position());
+      lastCommits.merge(group, answer.position(), Position::max);
     }
   }
 
@@ -190,8 +198,10 @@
       refuse(request, AnswerCode.UNKNOWN_DATABASE, unknownDatabase());
       return;
     }
+    transactionGroup = route.group();
     transaction =
-        executor.transaction(context, route, sessionState, begin.readOnly(), lastCommitPosition);
+        executor.transaction(
+            context, route, sessionState, begin.readOnly(), lastCommits.get(route.group()));
     finish(request, Answer.local(TransactionState.OPEN));
   }
 
@@ -236,16 +246,16 @@
             route,
             sessionState,
             request,
-            route.kind() == RouteKind.READ_YOUR_WRITES ? lastCommitPosition : null,
-            answer -> finishSingle(request, answer));
+            route.kind() == RouteKind.READ_YOUR_WRITES ? lastCommits.get(route.group()) : null,
+            answer -> finishSingle(request, route.group(), answer));
     singleStatement = run;
     run.start();
   }
 
-  private void finishSingle(SessionRequest request, Answer answer) {
+  private void finishSingle(SessionRequest request, String group, Answer answer) {
     singleStatement = null;
     if (answer.ok() && sessionState.writes(request.statement())) {
-      recordCommit(answer);
+      recordCommit(group, answer);
     }
     finish(request, answer);
   }
--- a/core/src/main/java/org/pollenspar/core/connection/GroupRouter.java
+++ b/core/src/main/java/org/pollenspar/core/connection/GroupRouter.java
@@ -155,8 +155,8 @@
 
   /**
    * Returns the earliest position that the log of a database must include to answer a read that may
-   * be stale; null if no sample is recent enough. It covers the last commit of the session if the
-   * route is {@link RouteKind#READ_YOUR_WRITES}.
+   * be stale; null if no sample is recent enough. It covers the last commit of the session in this
+   * group if the route is {@link RouteKind#READ_YOUR_WRITES}.
    */
   public @Nullable Position requiredPosition(Route route, @Nullable Position lastCommitPosition) {
     long bound = (route.maxStalenessMillis() - STALENESS_RESERVE_MS) * NANOS_PER_MILLI;
@@ -167,10 +167,8 @@
       return covering;
     }
     // A log that includes the covering position also includes a last commit of an older term, or
-    // that commit was rolled back.
-    return lastCommitPosition.term() == covering.term()
-        ? covering.max(lastCommitPosition)
-        : covering;
+    // that commit was rolled back. One of a newer term isn't included, so it is required itself.
+    return covering.max(lastCommitPosition);
   }
 
   /** Returns where a read should run now; null if no database can answer it. */
--- a/core/src/main/java/org/pollenspar/core/connection/StatementExecutor.java
+++ b/core/src/main/java/org/pollenspar/core/connection/StatementExecutor.java
@@ -11,7 +11,8 @@
   /**
    * Prepares the execution of a statement outside a transaction.
    *
-   * @param lastCommit last commit of the session, which the read must include; null for none
+   * @param lastCommit last commit of the session in the group of the route, which the read must
+   *     include; null for none
    * @param done receives the answer, exactly once after {@link StatementExecution#start}
    */
   StatementExecution statement(
--- a/core/src/test/java/org/pollenspar/core/connection/CallerSessionTest.java
+++ b/core/src/test/java/org/pollenspar/core/connection/CallerSessionTest.java
@@ -10,7 +10,10 @@
 import java.util.List;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.pollenspar.core.process.Confirmation;
+import org.pollenspar.core.process.PrimaryRecord;
 import org.pollenspar.core.request.Answer;
 import org.pollenspar.core.request.AnswerCode;
 import org.pollenspar.core.request.DatabaseCommand;
@@ -279,6 +282,44 @@
       assertEquals(new Position(1, 101), forward.after());
     }
 
+    /**
+     * Guards against reads that lack the session's own write after its route has moved from a group
+     * with a higher term: the commit in the first group hid the one in the second.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void seeTheSessionsOwnWriteAfterTheRouteMovedToAnotherGroup(boolean inTransaction) {
+      fixture.authority.update(new PrimaryRecord(SessionFixture.GROUP, "p", 3, false, 1, 11));
+      fixture.databases.positions.put("p", new Position(3, 1_203));
+      fixture.databases.positions.put("q", new Position(1, 300));
+      var caller = fixture.caller("own");
+      assertEquals(AnswerCode.OK, caller.write("1").code());
+      fixture.moveToSecondGroup("own");
+      caller.read("1");
+      fixture.databases.positions.put("q", new Position(1, 301));
+      if (inTransaction) {
+        caller.send(new SessionStatement.Begin(false));
+        caller.send(new SessionStatement.Write("WRITE 1 x"));
+        caller.send(new SessionStatement.Commit());
+      } else {
+        caller.send(new SessionStatement.Write("WRITE 1 x"));
+      }
+      fixture.time.advance(30);
+      caller.send(new SessionStatement.Read("READ 1"));
+      fixture.time.advance(30);
+      DatabaseCommand.Forward forward =
+          (DatabaseCommand.Forward) fixture.databases.commands("s1").get(0);
+      assertEquals(new Position(1, 301), forward.after());
+    }
+
+    /** Guards against a stale read at a host whose samples are older than the session's commit. */
+    @Test
+    void includeACommitOfANewerTermThanTheKnownSamples() {
+      fixture.caller("own").read("1");
+      Position commit = new Position(2, 101);
+      assertEquals(commit, fixture.router.requiredPosition(fixture.routes.route("own"), commit));
+    }
+
     @Test
     void laggingReplicasAreTriedOnceAndThenThePrimary() {
       var caller = fixture.caller("old");
--- a/core/src/test/java/org/pollenspar/core/connection/SessionFixture.java
+++ b/core/src/test/java/org/pollenspar/core/connection/SessionFixture.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.jspecify.annotations.Nullable;
 import org.pollenspar.core.process.Confirmation;
 import org.pollenspar.core.process.FakeTime;
 import org.pollenspar.core.process.PrimaryAuthority;
@@ -16,14 +17,19 @@
 import org.pollenspar.core.version.RouteKind;
 import org.pollenspar.core.version.RouteTable;
 
-/** Fixture: one host with a primary "p" and two replicas "r1" and "r2", on simulated time. */
+/**
+ * Fixture: one host with a group of a primary "p" and two replicas "r1" and "r2", and a second
+ * group of a primary "q" and a replica "s1" without routes, on simulated time.
+ */
 final class SessionFixture {
   static final String GROUP = "ledger";
+  static final String SECOND_GROUP = "archive";
   final FakeTime time = new FakeTime();
   final Confirmation confirmation = new Confirmation(time);
   final PrimaryAuthority authority = new PrimaryAuthority(confirmation);
   final ScriptedDatabases databases;
   final GroupRouter router;
+  final GroupRouter secondRouter;
   final SessionContext context;
   final List<String> decisions = new ArrayList<>();
   RouteTable routes;
@@ -34,9 +40,15 @@
     router.databases(
         List.of(entry("p", "b", true), entry("r1", "a", false), entry("r2", "c", false)));
     router.share(2);
+    secondRouter =
+        new GroupRouter(SECOND_GROUP, "a", authority, databases, SlotPermits.NONE, time, time);
+    secondRouter.databases(List.of(entry("q", "b", true), entry("s1", "a", false)));
+    secondRouter.share(2);
     confirmation.renewed(confirmation.now());
     authority.update(new PrimaryRecord(GROUP, "p", 1, false, 1, 10));
-    authority.onRecordChanged(group -> router.primaryChanged());
+    authority.update(new PrimaryRecord(SECOND_GROUP, "q", 1, false, 1, 10));
+    authority.onRecordChanged(
+        group -> (group.equals(GROUP) ? router : secondRouter).primaryChanged());
     databases.positions.put("p", new Position(1, 100));
     databases.positions.put("r1", new Position(1, 100));
     databases.positions.put("r2", new Position(1, 100));
@@ -44,17 +56,49 @@
     table.put("till", route("till", RouteKind.PRIMARY, 0));
     table.put("own", route("own", RouteKind.READ_YOUR_WRITES, 1));
     table.put("old", route("old", RouteKind.BOUNDED, 2));
-    routes = new RouteTable(1, table, Map.of(GROUP, new RouteTable.Group(49, 0)), 3_000);
+    routes = routes(1, table);
     context =
         new SessionContext(
             () -> routes,
-            group -> group.equals(GROUP) ? new LocalExecutor(router) : null,
+            this::executor,
             time,
             time,
             (request, route, pool, attempts, answer) ->
                 decisions.add(request.id() + " " + answer.code() + " " + attempts));
   }
 
+  private static RouteTable routes(long version, Map<String, Route> table) {
+    RouteTable.Group limits = new RouteTable.Group(49, 0);
+    return new RouteTable(
+        version, Map.copyOf(table), Map.of(GROUP, limits, SECOND_GROUP, limits), 3_000);
+  }
+
+  private @Nullable StatementExecutor executor(String group) {
+    return switch (group) {
+      case GROUP -> new LocalExecutor(router);
+      case SECOND_GROUP -> new LocalExecutor(secondRouter);
+      default -> null;
+    };
+  }
+
+  /** Applies a configuration in which a database name leads to the second group. */
+  void moveToSecondGroup(String database) {
+    Map<String, Route> table = new HashMap<>(routes.routes());
+    Route old = table.get(database);
+    table.put(
+        database,
+        new Route(
+            old.name(),
+            old.database(),
+            SECOND_GROUP,
+            old.kind(),
+            old.maxStalenessMillis(),
+            old.statementTimeoutMillis(),
+            old.targetLatencyMillis(),
+            old.priority()));
+    routes = routes(routes.version() + 1, table);
+  }
+
   private static Route route(String name, RouteKind kind, int priority) {
     return new Route(name, name, GROUP, kind, 1_500, 800, 150, priority);
   }
