core, edge, platform: nothing begins between a stopping host's last check and its exit

Seen: five of seven hosts of a failure domain stop at once, and the load balancer goes on sending callers to them, since it has fewer than half of its hosts left.

Cause: a stopping host ended as soon as one check found no open session, or after five sixths of the grace time. Its port stayed open until the exit, up to 200 ms later, and nothing refused what came in between. Evidence: the requests were sent 9 to 36 ms after one of the checks every 100 ms and cut by the exit after it (docs/incidents). Ruled out: the end of the grace time, time limits at the database.

A session that is to be closed first answers statements that arrived in one packet.

--- a/core/src/main/java/org/pollenspar/core/connection/CallerSession.java
+++ b/core/src/main/java/org/pollenspar/core/connection/CallerSession.java
@@ -51,6 +51,7 @@
 
   private boolean closed;
   private boolean closing;
+  private boolean refusing;
   private boolean advancing;
 
   /** Creates a session for a database name that has a route. */
@@ -96,6 +97,16 @@
     closeIfRequested();
   }
 
+  /**
+   * Refuses all statements that have not started as not run, because the process stops; closes the
+   * session once the running statement and these are answered.
+   */
+  public void refuseNewWork() {
+    refusing = true;
+    closing = true;
+    closeIfRequested();
+  }
+
   /** Rolls back a transaction that has no running statement, because the process stops. */
   public void endTransaction() {
     if (transaction != null && current == null) {
@@ -107,6 +118,9 @@
   }
 
   private void closeIfRequested() {
+    if (refusing && current == null && queued.isEmpty()) {
+      endTransaction();
+    }
     if (closing && !closed && idle()) {
       closed = true;
       connection.close();
@@ -122,7 +136,11 @@
       while (current == null && !closed) {
         @Nullable SessionRequest next = queued.pollFirst();
         if (next == null) {
-          closeIfRequested();
+          if (closing) {
+            // Deferred, since a statement that arrived with this one may not have been received
+            // yet.
+            context.timers().after(0, this::closeIfRequested);
+          }
           return;
         }
         current = next;
@@ -137,6 +155,8 @@
     SessionStatement statement = request.statement();
     if (statement instanceof SessionStatement.Invalid invalid) {
       refuse(request, AnswerCode.MALFORMED, invalid.reason());
+    } else if (refusing && !(statement instanceof SessionStatement.Rollback)) {
+      refuseUnstarted(request);
     } else if (transaction != null) {
       startInTransaction(request, transaction);
     } else if (statement instanceof SessionStatement.Begin begin) {
@@ -266,6 +286,16 @@
     finish(request, answer);
   }
 
+  private void refuseUnstarted(SessionRequest request) {
+    AnswerCode code = AnswerCode.BUSY;
+    if (transaction != null) {
+      code = AnswerCode.ABORTED;
+      transaction.rollback();
+      transaction = null;
+    }
+    refuse(request, code, "this host is stopping; connect again to reach another host");
+  }
+
   private TransactionState state() {
     if (transaction == null) {
       return TransactionState.IDLE;
--- a/core/src/main/java/org/pollenspar/core/connection/ForwardedWork.java
+++ b/core/src/main/java/org/pollenspar/core/connection/ForwardedWork.java
@@ -29,6 +29,7 @@
   private final Consumer<ForwardedWork> onClosed;
   private final Map<Long, StatementExecutor.StatementExecution> statements = new HashMap<>();
   private final Map<Long, HomeTransaction> transactions = new HashMap<>();
+  private boolean refusing;
 
   /** A transaction with the session state of its caller, which each statement brings along. */
   private record HomeTransaction(SessionTransaction transaction, SessionState sessionState) {}
@@ -134,10 +135,13 @@
         answer -> done.accept(new ForwardOutcome(ForwardOutcome.Kind.ANSWERED, answer));
     boolean commit = request.statement() instanceof SessionStatement.Commit;
     @Nullable HomeTransaction open = transactions.get(transaction.id());
-    if (open != null && !open.transaction().failed()) {
+    if (open != null && !open.transaction().failed() && !refusing) {
       run(request, transaction, open, answered);
       return;
     }
+    if (open != null) {
+      open.transaction().rollback();
+    }
     if (commit) {
       transactions.remove(transaction.id());
     }
@@ -204,6 +208,15 @@
     }
   }
 
+  /**
+   * Refuses all statements that have not started, because the process stops. Transactions are
+   * rolled back now or with their next statement.
+   */
+  public void refuseNewWork() {
+    refusing = true;
+    endIdleTransactions();
+  }
+
   /** Returns whether no statement runs and no transaction is open. */
   public boolean idle() {
     return statements.isEmpty()
--- a/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
@@ -127,6 +127,7 @@
   private final Set<CallerSession> sessions = new HashSet<>();
   private RouteTable routes = RouteTable.EMPTY;
   private boolean leaving;
+  private boolean refusing;
 
   /** Creates a node that serves nothing before it has a configuration. */
   public EdgeNode(Dependencies dependencies) {
@@ -369,6 +370,11 @@
     return routes.version() >= 0;
   }
 
+  /** Returns whether sessions may be opened; false once the process is about to exit. */
+  public boolean acceptsSessions() {
+    return !refusing;
+  }
+
   /** Returns whether a route exists for the database name that a caller gave. */
   public boolean hasRoute(String database) {
     return routes.route(database) != null;
@@ -447,6 +453,13 @@
     forwardedWork.forEach(ForwardedWork::endIdleTransactions);
   }
 
+  /** Refuses all statements that have not started as not run, and new sessions. */
+  public void refuseNewWork() {
+    refusing = true;
+    List.copyOf(sessions).forEach(CallerSession::refuseNewWork);
+    forwardedWork.forEach(ForwardedWork::refuseNewWork);
+  }
+
   /** Returns whether no session is open and no statement of another host is in progress. */
   public boolean drained() {
     return sessions.isEmpty() && forwardedWork.stream().allMatch(ForwardedWork::idle);
