proxy: a drain misses no request that has passed the check for draining

It was also no longer counted while its reply was built, and the executor of replies is shut down at the exit.

A request is now counted before the check and until its reply is built, and the drain begins anew if it finds one after the time for the last replies.

--- a/proxy/src/main/java/org/pollenspar/proxy/process/Drainer.java
+++ b/proxy/src/main/java/org/pollenspar/proxy/process/Drainer.java
@@ -38,22 +38,32 @@
   void await() {
     timeline.record("drain_started", "proxy", running.getAsInt() + " requests in progress");
     long start = System.nanoTime();
-    boolean inTime = true;
+    int unfinished;
+    do {
+      unfinished = awaitNoneRunning(start);
+    } while (unfinished > 0 && !expired(start) && !Thread.currentThread().isInterrupted());
+    int aborted = unfinished;
+    invariants.check(
+        Invariant.DRAIN_CUTS_NOTHING,
+        aborted == 0 || expired(start),
+        () -> aborted + " requests aborted before the drain timeout");
+    timeline.record("drain_ended", "proxy", aborted + " requests aborted");
+  }
+
+  /** Waits until no request is in progress and replies are sent; returns how many run after it. */
+  private int awaitNoneRunning(long start) {
     try {
-      while (running.getAsInt() > 0 && inTime) {
+      while (running.getAsInt() > 0 && !expired(start)) {
         TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
-        inTime = System.nanoTime() - start < timeout.toNanos();
       }
       TimeUnit.MILLISECONDS.sleep(REPLY_FLUSH_MILLIS);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    int unfinished = running.getAsInt();
-    boolean expired = System.nanoTime() - start >= timeout.toNanos();
-    invariants.check(
-        Invariant.DRAIN_CUTS_NOTHING,
-        unfinished == 0 || expired,
-        () -> unfinished + " requests aborted before the drain timeout");
-    timeline.record("drain_ended", "proxy", unfinished + " requests aborted");
+    return running.getAsInt();
+  }
+
+  private boolean expired(long start) {
+    return System.nanoTime() - start >= timeout.toNanos();
   }
 }
--- a/proxy/src/main/java/org/pollenspar/proxy/request/CallerHandler.java
+++ b/proxy/src/main/java/org/pollenspar/proxy/request/CallerHandler.java
@@ -126,21 +126,23 @@
   }
 
   private CompletionStage<HttpReply> execute(ParsedWork work, FleetSnapshot current) {
+    // Counted before the check, so that a drain that finds none running has refused all others.
+    running.incrementAndGet();
     Optional<PollensparError> refused = refusal.get();
     if (refused.isPresent()) {
+      running.decrementAndGet();
       return refuse(work, refused.get());
     }
-    running.incrementAndGet();
     return forwarder
         .execute(work, current)
-        .whenComplete((outcome, failure) -> running.decrementAndGet())
         .thenApplyAsync(
             outcome -> {
               long nanos = control.nowNanos() - work.request().arrivalNanos();
               metrics.answered(work.request().kind().rank(), outcome, nanos);
               return writer.reply(work, outcome);
             },
-            replyExecutor);
+            replyExecutor)
+        .whenComplete((reply, failure) -> running.decrementAndGet());
   }
 
   private CompletionStage<HttpReply> refuse(PollensparError error, long retryAfterMillis) {
