proxy: a home that closes or can't park a request answers it

Found by reading, on the paths of a proxy that stops. GroupHome.close() answered requests that run or are parked, but dropped writes that wait in a queue for another attempt; their callers got no answer. A request that a full parking place refused was dropped as well: three calls of park() ignored the refusal.

All waiting requests are now answered when the home closes, and a refusal to park is passed on to the caller. GroupHomeTest.Closing fails on the old code (a write without an answer after 30 s) and passes. The refusal to park has no test of its own.

--- a/proxy/src/main/java/org/pollenspar/proxy/connection/GroupHome.java
+++ b/proxy/src/main/java/org/pollenspar/proxy/connection/GroupHome.java
@@ -156,6 +156,10 @@
 
   private void park(PendingRequest pending) {
     databases.probeEagerly();
+    parkOrRefuse(pending);
+  }
+
+  private void parkOrRefuse(PendingRequest pending) {
     queues
         .park(pending)
         .ifPresent(
@@ -195,7 +199,7 @@
       } else if (startable(pending)) {
         queues.putBack(HomeQueues.Destination.PRIMARY, pending, execution.now());
       } else {
-        queues.park(pending);
+        parkOrRefuse(pending);
       }
     }
   }
@@ -220,13 +224,13 @@
   private void startOnPrimary(PendingRequest pending, DatabaseConnectionPool pool) {
     Primary primary = databases.tracker().primary().orElseThrow();
     if (pending.write() && primary.term() < pending.minimumTerm()) {
-      queues.park(pending);
+      parkOrRefuse(pending);
       return;
     }
     Optional<PendingRequest.HeldConnection> held =
         databases.acquire(pool, HomeQueues.Destination.PRIMARY, pending.request().requestId());
     if (held.isEmpty()) {
-      queues.park(pending);
+      parkOrRefuse(pending);
     } else if (pending.write()) {
       writes.start(pending, held.get(), primary);
     } else {
@@ -347,14 +351,14 @@
 
   /**
    * Closes all connections. Requests that have not started are returned. Requests in progress and
-   * parked ones are answered with {@code DRAINING}, or with an unknown outcome if they may have
-   * committed.
+   * those that wait for another attempt are answered with {@code DRAINING}, or with an unknown
+   * outcome if they may have committed.
    */
   public void close() {
     closed = true;
     queues.takeUnstarted(execution.now()).forEach(PendingRequest::returnUnstarted);
     List<PendingRequest> unfinished = new ArrayList<>(execution.active());
-    unfinished.addAll(queues.takeParked());
+    unfinished.addAll(queues.takeAll());
     unfinished.forEach(this::refuseUnfinished);
     databases.close();
   }
--- a/proxy/src/main/java/org/pollenspar/proxy/connection/HomeQueues.java
+++ b/proxy/src/main/java/org/pollenspar/proxy/connection/HomeQueues.java
@@ -145,6 +145,15 @@
     return unstarted;
   }
 
+  /** Removes and returns all waiting requests, queued or parked. */
+  List<PendingRequest> takeAll() {
+    List<PendingRequest> taken = takeParked();
+    for (Destination destination : Destination.values()) {
+      taken.addAll(queue(destination).drain());
+    }
+    return taken;
+  }
+
   private List<PendingRequest> takeParked(Predicate<PendingRequest> condition) {
     List<PendingRequest> taken = parked.stream().filter(condition).toList();
     for (PendingRequest pending : taken) {
--- a/proxy/src/test/java/org/pollenspar/proxy/connection/GroupHomeTest.java
+++ b/proxy/src/test/java/org/pollenspar/proxy/connection/GroupHomeTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -309,4 +310,31 @@
       assertEquals("99", fixture.amount(resolved.position().orElseThrow()));
     }
   }
+
+  /** Guards against requests that get no answer when their home is closed. */
+  @Nested
+  class Closing {
+    private static final int ROUNDS = 10;
+
+    /** After a lost connection, a started write waits in the queue behind others. */
+    @Test
+    void writesThatWaitForAnotherAttemptAreAnswered() throws Exception {
+      for (int round = 0; round < ROUNDS; round++) {
+        fixture.database(0).faults().latencyMillis = 100;
+        List<CompletableFuture<Optional<Outcome>>> answers = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+          answers.add(fixture.write("k" + round + "-" + i, DECREMENT));
+        }
+        Thread.sleep(50);
+        fixture.dropConnections(0);
+        Thread.sleep(50 * round);
+        fixture.callOnControlThread(fixture.home::close);
+        for (CompletableFuture<Optional<Outcome>> answer : answers) {
+          answer.orTimeout(30, TimeUnit.SECONDS).join();
+        }
+        fixture.close();
+        fixture = new HomeFixture();
+      }
+    }
+  }
 }
