core, edge: a stopping host refuses new statements from half of the grace time on

With refusals from two thirds on, a request sent in between could be passed on and cut off. Refusing from half of the grace time on leaves a statement 2.5 s of the 6 s. It also makes the separate step that ended transactions needless: a refused session rolls its transaction back, and so does a home.

ForwardingTest.areNotContinuedByALeavingHomeThatEndedThem calls the remaining method with the same checks. Unit tests, PlatformEndToEndTest.Stopping pass.

--- a/core/src/main/java/org/pollenspar/core/connection/CallerSession.java
+++ b/core/src/main/java/org/pollenspar/core/connection/CallerSession.java
@@ -98,8 +98,8 @@
   }
 
   /**
-   * Refuses all statements that have not started as not run, because the process stops; closes the
-   * session once the running statement and these are answered.
+   * Refuses all statements that have not started as not run, because the process stops. Closes the
+   * session once the running statement and these are answered, and rolls back its transaction.
    */
   public void refuseNewWork() {
     refusing = true;
@@ -107,19 +107,10 @@
     closeIfRequested();
   }
 
-  /** Rolls back a transaction that has no running statement, because the process stops. */
-  public void endTransaction() {
-    if (transaction != null && current == null) {
+  private void closeIfRequested() {
+    if (refusing && current == null && queued.isEmpty() && transaction != null) {
       transaction.abandon();
       transaction = null;
-      closed = true;
-      connection.close();
-    }
-  }
-
-  private void closeIfRequested() {
-    if (refusing && current == null && queued.isEmpty()) {
-      endTransaction();
     }
     if (closing && !closed && idle()) {
       closed = true;
--- a/core/src/main/java/org/pollenspar/core/connection/ForwardedWork.java
+++ b/core/src/main/java/org/pollenspar/core/connection/ForwardedWork.java
@@ -200,7 +200,7 @@
   }
 
   /** Rolls back transactions that wait for their caller's next statement. */
-  public void endIdleTransactions() {
+  private void endIdleTransactions() {
     for (HomeTransaction each : transactions.values()) {
       if (!each.transaction().running()) {
         each.transaction().rollback();
--- a/core/src/main/java/org/pollenspar/core/process/HostShutdown.java
+++ b/core/src/main/java/org/pollenspar/core/process/HostShutdown.java
@@ -9,9 +9,9 @@
  *   <li>The host reports at once that it isn't ready. It still serves new connections until the
  *       load balancer has noticed that.
  *   <li>Then it closes its port for callers, and closes each session as soon as it is idle.
- *   <li>After half of the grace time, transactions that wait for their caller are rolled back.
- *   <li>After two thirds, statements that have not started are refused as not run, and each session
- *       is closed once its running statement is answered.
+ *   <li>After half of the grace time, transactions that wait for their caller are rolled back,
+ *       statements that have not started are refused as not run, and each session is closed once
+ *       its running statement is answered.
  *   <li>When no caller is connected and no statement of another host runs, at the latest shortly
  *       before the end of the grace time, the host refuses all work, unregisters and exits.
  * </ol>
@@ -51,10 +51,10 @@
     /** Closes connections of callers that are idle, and all others as soon as they are. */
     void closeIdle();
 
-    /** Rolls back transactions that wait for their caller's next statement. */
-    void endTransactions();
-
-    /** Refuses all statements that have not started as not run. */
+    /**
+     * Refuses all statements that have not started as not run, and rolls back transactions that
+     * wait for their caller's next statement. May be called again.
+     */
     void refuseNewWork();
 
     /** Returns whether no caller is connected and no statement of another host is in progress. */
@@ -75,7 +75,6 @@
   private final long graceMillis;
   private long beganNanos;
   private boolean begun;
-  private boolean refusing;
   private boolean exiting;
 
   /**
@@ -115,10 +114,7 @@
     long elapsed = TimeUnit.NANOSECONDS.toMillis(clocks.steadyNanos() - beganNanos);
     host.closeIdle();
     if (elapsed >= graceMillis / 2) {
-      host.endTransactions();
-    }
-    if (elapsed >= graceMillis * 2 / 3) {
-      refuseNewWork();
+      host.refuseNewWork();
     }
     if (host.drained()) {
       leave("nothing was in progress");
@@ -129,15 +125,8 @@
     }
   }
 
-  private void refuseNewWork() {
-    if (!refusing) {
-      refusing = true;
-      host.refuseNewWork();
-    }
-  }
-
   private void leave(String detail) {
-    refuseNewWork();
+    host.refuseNewWork();
     log.changed("drained", name, detail);
     host.unregister(() -> timers.after(DECLINE_MS, this::exit));
     timers.after(UNREGISTER_TIMEOUT_MS + DECLINE_MS, this::exit);
--- a/core/src/main/java/org/pollenspar/core/process/ReplicaSetRecorder.java
+++ b/core/src/main/java/org/pollenspar/core/process/ReplicaSetRecorder.java
@@ -14,9 +14,10 @@
  *
  * <p>A database is added as soon as it is registered. One whose registration has lapsed is removed
  * in two steps: the primary reports a position, and then another replica reports that it has
- * received that position. Since the lapsed database had ended before the first step, every
- * acknowledged write that it holds is below that position, and so is held by the other replica as
- * well. Without a primary that answers, no such position is known, and the database stays.
+ * received that position. A database whose registration stays lapsed while the store is available
+ * has ended, so every acknowledged write that it holds is below that position, and the other
+ * replica holds it as well. Without a primary that answers, no such position is known, and the
+ * database stays.
  *
  * <p>Removing a database when its registration lapses would be wrong: the primary and a replica may
  * crash together, and only these two may hold the last acknowledged writes.
--- a/core/src/test/java/org/pollenspar/core/connection/ForwardingFixture.java
+++ b/core/src/test/java/org/pollenspar/core/connection/ForwardingFixture.java
@@ -234,8 +234,8 @@
             });
       }
 
-      void endIdleTransactionsAtHome() {
-        work.endIdleTransactions();
+      void refuseNewWorkAtHome() {
+        work.refuseNewWork();
       }
 
       /** Delivers what arrived while the home was frozen. */
--- a/core/src/test/java/org/pollenspar/core/connection/ForwardingTest.java
+++ b/core/src/test/java/org/pollenspar/core/connection/ForwardingTest.java
@@ -254,7 +254,7 @@
       var caller = entry.caller("till");
       caller.begin();
       caller.write("1");
-      entry.links.get("near").endIdleTransactionsAtHome();
+      entry.links.get("near").refuseNewWorkAtHome();
       Answer answer = caller.write("2");
       assertEquals(AnswerCode.ABORTED, answer.code());
       assertEquals(TransactionState.FAILED, answer.state());
--- a/core/src/test/java/org/pollenspar/core/process/HostShutdownTest.java
+++ b/core/src/test/java/org/pollenspar/core/process/HostShutdownTest.java
@@ -46,11 +46,6 @@
       step("close idle");
     }
 
-    @Override
-    public void endTransactions() {
-      step("end transactions");
-    }
-
     @Override
     public void refuseNewWork() {
       step("refuse");
@@ -97,12 +92,10 @@
   void theHostStaysUntilTheLastCallerHasLeft() {
     shutdown.begin();
     time.advance(2_900);
-    assertFalse(steps.contains("end transactions"), steps.toString());
-    time.advance(1_000);
-    assertTrue(steps.contains("end transactions"), steps.toString());
     assertFalse(steps.contains("refuse"), steps.toString());
-    time.advance(1_000);
+    time.advance(200);
     assertTrue(steps.contains("refuse"), steps.toString());
+    time.advance(2_000);
     assertFalse(steps.contains("unregister"), steps.toString());
     drained = true;
     time.advance(300);
--- a/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
@@ -447,13 +447,10 @@
     List.copyOf(sessions).forEach(CallerSession::closeWhenIdle);
   }
 
-  /** Rolls back transactions that wait for their caller's next statement. */
-  public void endTransactions() {
-    List.copyOf(sessions).forEach(CallerSession::endTransaction);
-    forwardedWork.forEach(ForwardedWork::endIdleTransactions);
-  }
-
-  /** Refuses all statements that have not started as not run, and new sessions. */
+  /**
+   * Refuses all statements that have not started as not run, and new sessions; rolls back
+   * transactions that wait for their caller's next statement.
+   */
   public void refuseNewWork() {
     refusing = true;
     List.copyOf(sessions).forEach(CallerSession::refuseNewWork);
