--- a/failover/src/test/java/org/pollenspar/failover/process/FailoverProgramTest.java
+++ b/failover/src/test/java/org/pollenspar/failover/process/FailoverProgramTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -55,6 +56,11 @@
  * report the states of the databases take the place of the home proxies.
  */
 class FailoverProgramTest {
+  private static final int FIRST_PORT = 20_000;
+
+  /** First port that Linux gives to outgoing connections by default. */
+  private static final int OUTGOING_PORTS_FROM = 32_768;
+
   private static final int AWAIT_ROUNDS = 6_000;
   private static final String FLEET =
       """
@@ -126,9 +132,18 @@
         id, "127.0.0.1", peer, 0, admin, "z" + domain, "r", role, HostState.LIVE, databases);
   }
 
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
+  /**
+   * Returns a port that no process has open. It lies below those that the system gives to outgoing
+   * connections, so that none of them takes it before the agent opens it.
+   */
+  private int freePort() throws IOException {
+    while (true) {
+      int port = FIRST_PORT + random.nextInt(OUTGOING_PORTS_FROM - FIRST_PORT);
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+        return socket.getLocalPort();
+      } catch (BindException e) {
+        // In use; another one is tried.
+      }
     }
   }
 
