core, platform: a late call to promote a database changes nothing

Ruled out: two published primaries (each record is written under the fence) and hosts that were not asked (all had acknowledged).

Change: PrimaryChange writes the candidate into the table before each call, under the fence; the next holder prefers the same database unless another is ahead. A write of the table without an answer is looked up. FailoverCoordinator asks a database that claims to be the primary, and starts a change if it leads a newer term.

--- a/core/src/main/java/org/pollenspar/core/process/ControlKeys.java
+++ b/core/src/main/java/org/pollenspar/core/process/ControlKeys.java
@@ -99,6 +99,9 @@
     node.put("term", record.term());
     node.put("changing", record.changing());
     node.put("fence", record.fence());
+    if (!record.candidate().isEmpty()) {
+      node.put("candidate", record.candidate());
+    }
     return node.toString();
   }
 
@@ -112,6 +115,7 @@
           record.number("term", 0, Long.MAX_VALUE),
           record.flag("changing"),
           record.number("fence", 0, Long.MAX_VALUE),
+          record.has("candidate") ? record.text("candidate") : "",
           revision);
     } catch (StoredValue.InvalidException e) {
       return null;
--- a/core/src/main/java/org/pollenspar/core/process/FailoverCoordinator.java
+++ b/core/src/main/java/org/pollenspar/core/process/FailoverCoordinator.java
@@ -19,8 +19,9 @@
  * expired.
  *
  * <p>A primary is replaced if it drains, if it stays unregistered, if it reports that it is a
- * replica, or if it fails repeated probes and no majority of the other members reaches it. The
- * question to the members keeps a holder whose own network fails from replacing a healthy primary.
+ * replica, if another database leads a newer term, or if it fails repeated probes and no majority
+ * of the other members reaches it. The question to the members keeps a holder whose own network
+ * fails from replacing a healthy primary.
  *
  * <p>Not thread-safe: all calls come from the thread that runs the {@link Timers}.
  */
@@ -44,6 +45,9 @@
   /** How long a primary may be unregistered before it is replaced. */
   private static final long UNREGISTERED_LIMIT_MS = 2_500;
 
+  /** Pause before a database that claims to be the primary is asked again. */
+  private static final long CLAIM_PAUSE_MS = 1_000;
+
   /** Pause before the next change of a group after one that failed. */
   private static final long FAILED_CHANGE_PAUSE_MS = 500;
 
@@ -71,6 +75,9 @@
     boolean unregistered;
     long pauseUntilNanos;
     boolean paused;
+
+    /** When databases that claim to be the primary, but aren't recorded as such, were asked. */
+    final Map<String, Long> claimsCheckedNanos = new HashMap<>();
   }
 
   /**
@@ -241,10 +248,21 @@
     }
     memberRemover.tick();
     for (String group : new ArrayList<>(context.databases().groups())) {
-      GroupState state = groups.computeIfAbsent(group, key -> new GroupState());
-      if (state.change == null && !(state.paused && now() - state.pauseUntilNanos < 0)) {
-        checkGroup(group, state);
-      }
+      checkUnlessChanging(group);
+    }
+  }
+
+  /** Checks a group at once because the registrations of its databases have changed. */
+  public void databasesChanged(String group) {
+    if (lease != 0 && holdsLease()) {
+      checkUnlessChanging(group);
+    }
+  }
+
+  private void checkUnlessChanging(String group) {
+    GroupState state = groups.computeIfAbsent(group, key -> new GroupState());
+    if (state.change == null && !(state.paused && now() - state.pauseUntilNanos < 0)) {
+      checkGroup(group, state);
     }
   }
 
@@ -267,6 +285,10 @@
     for (DatabaseControl.Candidate candidate : context.databases().candidates(group)) {
       if (candidate.id().equals(record.database())) {
         primary = candidate;
+      } else if (candidate.claimsPrimary()) {
+        checkClaim(record, state, candidate.id());
+      } else {
+        state.claimsCheckedNanos.remove(candidate.id());
       }
     }
     if (primary == null) {
@@ -281,6 +303,29 @@
     }
   }
 
+  /**
+   * Asks a database that claims to be the primary in place of the recorded one. If it leads a newer
+   * term, a late call has promoted it, and the recorded primary accepts writes until it knows.
+   */
+  private void checkClaim(PrimaryRecord record, GroupState state, String claimant) {
+    @Nullable Long checked = state.claimsCheckedNanos.get(claimant);
+    if (checked != null && now() - checked < CLAIM_PAUSE_MS * 1_000_000) {
+      return;
+    }
+    state.claimsCheckedNanos.put(claimant, now());
+    context
+        .databases()
+        .status(
+            record.group(),
+            claimant,
+            status -> {
+              boolean leads = status != null && status.primary() && status.term() > record.term();
+              if (leads && record.equals(authority.record(record.group()))) {
+                replace(record, state, claimant + " leads the newer term " + status.term(), false);
+              }
+            });
+  }
+
   private static boolean stale(DatabaseControl.Candidate primary) {
     return primary.answerAgeMillis() < 0 || primary.answerAgeMillis() > PROBE_AFTER_MS;
   }
@@ -322,7 +367,7 @@
   }
 
   private void writeFirstRecord(String group, String database, long term) {
-    PrimaryRecord record = new PrimaryRecord(group, database, term, false, fence, 0);
+    PrimaryRecord record = PrimaryRecord.leading(group, database, term, fence, 0);
     String key = ControlKeys.primary(group);
     context
         .store()
--- a/core/src/main/java/org/pollenspar/core/process/PrimaryChange.java
+++ b/core/src/main/java/org/pollenspar/core/process/PrimaryChange.java
@@ -18,9 +18,10 @@
  *   <li>Wait until no member uses the old primary any more; see {@link PrimaryRevocation}.
  *   <li>If the old primary was only unreachable and answers again, publish it again.
  *   <li>Otherwise step it down if it answers, and let the replicas receive the rest of its log.
- *   <li>Promote the most advanced database. With synchronous replication, first wait until the old
- *       primary or all databases of the {@link ReplicaSet} have reported their positions. If only
- *       the old primary has all of its log, promote it again.
+ *   <li>Write the most advanced database into the table as the candidate and promote it. With
+ *       synchronous replication, first wait until the old primary or all databases of the {@link
+ *       ReplicaSet} have reported their positions. If only the old primary has all of its log,
+ *       promote it again.
  *   <li>Once it is the primary, publish it in the table.
  * </ol>
  *
@@ -28,6 +29,11 @@
  * revoking later would be faster by some hundred milliseconds, but during that time two primaries
  * could acknowledge writes. And with synchronous replication, the promoted database has all
  * acknowledged writes.
+ *
+ * <p>A call to promote a database can't be taken back, and it may take effect after this host has
+ * lost the failover lease. So the candidate is written before the call, under the fence: a host
+ * that has lost the lease or the store makes no call, and the next holder promotes the same
+ * database unless another one is ahead. A late call then changes nothing, as it names the primary.
  */
 final class PrimaryChange {
   private static final long CATCH_UP_MS = 1_500;
@@ -37,6 +43,9 @@
   /** How long after it was sent a call to promote a database may still take effect. */
   private static final long LATE_PROMOTION_MS = 3_000;
 
+  /** How often a write of the table is tried if it gets no answer. */
+  private static final int WRITE_ATTEMPTS = 3;
+
   private final ControlContext context;
   private final PrimaryRecord old;
   private final long fence;
@@ -45,6 +54,10 @@
   private final Map<String, DatabaseControl.DatabaseStatus> statuses = new HashMap<>();
   private final long startedNanos;
   private long lateCallsUntilNanos;
+
+  /** Database that a call of this or of an interrupted change may promote; empty if none. */
+  private String candidate;
+
   private @Nullable String promoted;
   private long promotedNanos;
   private long intentRevision;
@@ -66,6 +79,7 @@
       Consumer<Boolean> done) {
     this.context = context;
     this.old = old;
+    this.candidate = old.candidate();
     this.fence = fence;
     // An interrupted change may have promoted another database already.
     this.keepIfRecovered = keepIfRecovered && !old.changing();
@@ -90,9 +104,8 @@
     context
         .listener()
         .changed("change_started", group(), "primary " + old.database() + ": " + reason);
-    PrimaryRecord intent = new PrimaryRecord(group(), old.database(), old.term(), true, fence, 0);
     write(
-        intent,
+        old.changingTo(candidate, fence),
         old.revision(),
         reply -> {
           if (ended) {
@@ -112,6 +125,11 @@
 
   /** Writes a record if neither it nor the failover lease changed; ends the change otherwise. */
   private void write(PrimaryRecord record, long expected, Consumer<CoordinationStore.Reply> next) {
+    write(record, expected, WRITE_ATTEMPTS, next);
+  }
+
+  private void write(
+      PrimaryRecord record, long expected, int attempts, Consumer<CoordinationStore.Reply> next) {
     String key = ControlKeys.primary(group());
     context
         .store()
@@ -122,14 +140,48 @@
             List.of(new CoordinationStore.Put(key, ControlKeys.encode(record), 0)),
             List.of(),
             reply -> {
+              boolean repeated = attempts < WRITE_ATTEMPTS;
+              boolean unknown =
+                  reply.status() == CoordinationStore.Status.UNKNOWN
+                      || (repeated && reply.status() == CoordinationStore.Status.CONFLICT);
               if (reply.done()) {
                 next.accept(reply);
+              } else if (unknown && attempts > 1 && !ended) {
+                confirmWrite(record, expected, attempts - 1, next);
               } else {
                 end(false, "the table could not be written: " + reply.status());
               }
             });
   }
 
+  /** Reads whether a write without an answer took effect, and repeats it otherwise. */
+  private void confirmWrite(
+      PrimaryRecord record, long expected, int attempts, Consumer<CoordinationStore.Reply> next) {
+    String key = ControlKeys.primary(group());
+    context
+        .store()
+        .range(
+            key,
+            reply -> {
+              CoordinationStore.@Nullable Item found =
+                  reply.items().stream()
+                      .filter(item -> item.key().equals(key))
+                      .findFirst()
+                      .orElse(null);
+              if (!reply.done() || found == null) {
+                end(false, "the table could not be read: " + reply.status());
+              } else if (found.revision() == expected) {
+                write(record, expected, attempts, next);
+              } else if (found.value().equals(ControlKeys.encode(record))) {
+                next.accept(
+                    new CoordinationStore.Reply(
+                        CoordinationStore.Status.DONE, List.of(), found.revision(), 0));
+              } else {
+                end(false, "another host has changed the table");
+              }
+            });
+  }
+
   private void revokedByAllMembers(long waitedMillis, Set<String> unanswered) {
     context
         .listener()
@@ -310,7 +362,7 @@
             "promoting",
             group(),
             best + ", old primary at " + target + ", answers " + new TreeMap<>(statuses));
-    promote(best);
+    callFor(best);
   }
 
   private void reportWait(List<String> awaited) {
@@ -329,13 +381,18 @@
     @Nullable String best = null;
     for (String database : statuses.keySet()) {
       boolean replaced = database.equals(old.database());
-      if (!replaced && (best == null || isAhead(database, best))) {
+      if (!replaced && (best == null || isPreferred(database, best))) {
         best = database;
       }
     }
     return best;
   }
 
+  /** The candidate is preferred to others that have received as much. */
+  private boolean isPreferred(String database, String other) {
+    return database.equals(candidate) ? !isAhead(other, database) : isAhead(database, other);
+  }
+
   /**
    * Returns whether a database leads in place of the old primary: in a newer term, or in the same
    * term as a successor that took over the log and the address of the old primary.
@@ -359,15 +416,15 @@
     if (leader == null) {
       return false;
     }
-    boolean promotedOther = promoted != null && !promoted.equals(leader);
-    if (!promotedOther) {
+    boolean calledForOther = !candidate.isEmpty() && !candidate.equals(leader);
+    if (!calledForOther) {
       publish(leader, term);
-    } else if (millisSince(promotedNanos) < LATE_PROMOTION_MS) {
+    } else if (promoted != null && millisSince(promotedNanos) < LATE_PROMOTION_MS) {
       context.timers().after(POLL_MS, () -> collectStatuses(null, promotedNanos));
     } else {
-      // The database that this change promoted may be unreachable and lead a newer term. Promoting
-      // the leader makes its term the newest, and has no effect if it already is.
-      promote(leader);
+      // The candidate may be unreachable and lead a newer term. Promoting the leader makes its term
+      // the newest, and has no effect if it already is.
+      callFor(leader);
     }
     return true;
   }
@@ -383,6 +440,18 @@
     return first != null && second != null && first.received().compareTo(second.received()) > 0;
   }
 
+  /** Promotes a database, after it was written into the table as the candidate. */
+  private void callFor(String database) {
+    write(
+        old.changingTo(database, fence),
+        intentRevision,
+        reply -> {
+          intentRevision = reply.revision();
+          candidate = database;
+          promote(database);
+        });
+  }
+
   private void promote(String database) {
     if (ended) {
       return;
@@ -440,7 +509,7 @@
   }
 
   private void publish(String database, long term) {
-    PrimaryRecord leader = new PrimaryRecord(group(), database, term, false, fence, 0);
+    PrimaryRecord leader = PrimaryRecord.leading(group(), database, term, fence, 0);
     write(
         leader,
         intentRevision,
--- a/core/src/main/java/org/pollenspar/core/process/PrimaryRecord.java
+++ b/core/src/main/java/org/pollenspar/core/process/PrimaryRecord.java
@@ -8,13 +8,32 @@
  * @param term its term
  * @param changing whether a change of the primary is in progress
  * @param fence fencing token of the failover lease under which the record was written
+ * @param candidate while changing, the database that the platform may have been called to promote;
+ *     empty if none
  * @param revision revision of the store at which it was written; orders records of a group
  */
 public record PrimaryRecord(
-    String group, String database, long term, boolean changing, long fence, long revision) {
+    String group,
+    String database,
+    long term,
+    boolean changing,
+    long fence,
+    String candidate,
+    long revision) {
+
+  /** Creates the record of a primary that is not being replaced. */
+  public static PrimaryRecord leading(
+      String group, String database, long term, long fence, long revision) {
+    return new PrimaryRecord(group, database, term, false, fence, "", revision);
+  }
+
+  /** Returns the record of a change of this primary that calls for a candidate. */
+  PrimaryRecord changingTo(String newCandidate, long newFence) {
+    return new PrimaryRecord(group, database, term, true, newFence, newCandidate, 0);
+  }
 
   /** Returns the record of a change whose intent was written at a revision. */
   PrimaryRecord revokedAt(long newRevision) {
-    return new PrimaryRecord(group, database, term, true, fence, newRevision);
+    return new PrimaryRecord(group, database, term, true, fence, candidate, newRevision);
   }
 }
--- a/core/src/test/java/org/pollenspar/core/connection/CallerSessionTest.java
+++ b/core/src/test/java/org/pollenspar/core/connection/CallerSessionTest.java
@@ -289,7 +289,7 @@
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
     void seeTheSessionsOwnWriteAfterTheRouteMovedToAnotherGroup(boolean inTransaction) {
-      fixture.authority.update(new PrimaryRecord(SessionFixture.GROUP, "p", 3, false, 1, 11));
+      fixture.authority.update(PrimaryRecord.leading(SessionFixture.GROUP, "p", 3, 1, 11));
       fixture.databases.positions.put("p", new Position(3, 1_203));
       fixture.databases.positions.put("q", new Position(1, 300));
       var caller = fixture.caller("own");
--- a/core/src/test/java/org/pollenspar/core/connection/ForwardingFixture.java
+++ b/core/src/test/java/org/pollenspar/core/connection/ForwardingFixture.java
@@ -94,7 +94,7 @@
       router = new GroupRouter(GROUP, domain, authority, databases, SlotPermits.NONE, time, time);
       router.databases(entries);
       confirm();
-      authority.update(new PrimaryRecord(GROUP, "p", 1, false, 1, 10));
+      authority.update(PrimaryRecord.leading(GROUP, "p", 1, 1, 10));
       context =
           new SessionContext(
               () -> routes,
--- a/core/src/test/java/org/pollenspar/core/connection/SessionFixture.java
+++ b/core/src/test/java/org/pollenspar/core/connection/SessionFixture.java
@@ -45,8 +45,8 @@
     secondRouter.databases(List.of(entry("q", "b", true), entry("s1", "a", false)));
     secondRouter.share(2);
     confirmation.renewed(confirmation.now());
-    authority.update(new PrimaryRecord(GROUP, "p", 1, false, 1, 10));
-    authority.update(new PrimaryRecord(SECOND_GROUP, "q", 1, false, 1, 10));
+    authority.update(PrimaryRecord.leading(GROUP, "p", 1, 1, 10));
+    authority.update(PrimaryRecord.leading(SECOND_GROUP, "q", 1, 1, 10));
     authority.onRecordChanged(
         group -> (group.equals(GROUP) ? router : secondRouter).primaryChanged());
     databases.positions.put("p", new Position(1, 100));
--- /dev/null
+++ b/core/src/test/java/org/pollenspar/core/process/FaultyTransactions.java
@@ -0,0 +1,68 @@
+package org.pollenspar.core.process;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+
+/** A connection to a store on which transactions get no answer while a fault is set. */
+final class FaultyTransactions implements CoordinationStore {
+  /** What happens to the transactions that get no answer. */
+  enum Fault {
+    NONE,
+    EXECUTED_AT_ONCE,
+    EXECUTED_LATER
+  }
+
+  private final CoordinationStore target;
+  private final List<Runnable> held = new ArrayList<>();
+  Fault fault = Fault.NONE;
+
+  FaultyTransactions(CoordinationStore target) {
+    this.target = target;
+  }
+
+  /** Executes the first transaction of {@link Fault#EXECUTED_LATER}. */
+  void executeFirstHeld() {
+    held.get(0).run();
+  }
+
+  @Override
+  public void transact(
+      List<Expectation> expected, List<Put> puts, List<String> deletes, Consumer<Reply> done) {
+    Reply noAnswer = new Reply(Status.UNKNOWN, List.of(), 0, 0);
+    switch (fault) {
+      case NONE -> target.transact(expected, puts, deletes, done);
+      case EXECUTED_AT_ONCE ->
+          target.transact(expected, puts, deletes, ignored -> done.accept(noAnswer));
+      case EXECUTED_LATER -> {
+        held.add(() -> target.transact(expected, puts, deletes, ignored -> {}));
+        done.accept(noAnswer);
+      }
+    }
+  }
+
+  @Override
+  public void range(String prefix, Consumer<Reply> done) {
+    target.range(prefix, done);
+  }
+
+  @Override
+  public void watch(String prefix, long afterRevision, Consumer<Reply> done) {
+    target.watch(prefix, afterRevision, done);
+  }
+
+  @Override
+  public void grantLease(long ttlMillis, Consumer<Reply> done) {
+    target.grantLease(ttlMillis, done);
+  }
+
+  @Override
+  public void renewLease(long lease, Consumer<Reply> done) {
+    target.renewLease(lease, done);
+  }
+
+  @Override
+  public void endLease(long lease, Consumer<Reply> done) {
+    target.endLease(lease, done);
+  }
+}
--- a/core/src/test/java/org/pollenspar/core/process/ModelStore.java
+++ b/core/src/test/java/org/pollenspar/core/process/ModelStore.java
@@ -7,6 +7,7 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A linearizable store on simulated time that can be down, refuse calls of single hosts, lose
@@ -51,6 +52,12 @@
     refused.put(host, now() + length);
   }
 
+  /** Returns the value of a key now; null if it doesn't exist. */
+  @Nullable String value(String key) {
+    CoordinationStore.@Nullable Item item = items.get(key);
+    return item == null ? null : item.value();
+  }
+
   void loseAnswers(int length) {
     lossyUntil = now() + length;
   }
--- a/core/src/test/java/org/pollenspar/core/process/PrimaryChangeTest.java
+++ b/core/src/test/java/org/pollenspar/core/process/PrimaryChangeTest.java
@@ -14,6 +14,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.pollenspar.core.connection.Position;
 
 /**
@@ -24,14 +26,17 @@
   private static final String GROUP = "ledger";
   private final FakeTime time = new FakeTime();
   private final ModelStore store = new ModelStore(time, new SplittableRandom(1));
-  private final CoordinationStore connection = store.connection("host", Runnable::run);
+  private final FaultyTransactions connection =
+      new FaultyTransactions(store.connection("host", Runnable::run));
   private final FleetTable table =
       new FleetTable(new PrimaryAuthority(new Confirmation(time)), time);
   private final Databases databases = new Databases();
   private final List<String> steps = new ArrayList<>();
   private boolean failoverLeaseHeld = true;
+  private boolean storeLostAtStepDown;
   private long failoverLeaseRevision;
   private @Nullable PrimaryRecord old;
+  private @Nullable PrimaryRecord recordAtCall;
 
   /** Databases with positions and draining states set by a test; others do not answer. */
   private final class Databases implements DatabaseControl {
@@ -91,6 +96,9 @@
     public void stepDown(
         String group, String database, long term, Consumer<@Nullable DatabaseStatus> done) {
       steps.add("step down " + database);
+      if (storeLostAtStepDown) {
+        store.refuse("host", 60_000);
+      }
       status(group, database, done);
     }
   }
@@ -134,14 +142,12 @@
   void setUp() {
     put(ControlKeys.FAILOVER_LEASE, "host");
     put(ControlKeys.SHARED_LEASE, ControlKeys.encodeSharedLease(0));
-    put(
-        ControlKeys.primary(GROUP),
-        ControlKeys.encode(new PrimaryRecord(GROUP, "p", 1, false, 1, 0)));
+    put(ControlKeys.primary(GROUP), ControlKeys.encode(PrimaryRecord.leading(GROUP, "p", 1, 1, 0)));
     put(ControlKeys.member("a"), ControlKeys.encode(new Member("a", "a", "1", "", 1_000, false)));
     reload();
     failoverLeaseRevision = table.revision(ControlKeys.FAILOVER_LEASE);
     long revision = table.revision(ControlKeys.primary(GROUP));
-    old = new PrimaryRecord(GROUP, "p", 1, false, 1, revision);
+    old = PrimaryRecord.leading(GROUP, "p", 1, 1, revision);
     databases.at("p", 10);
     databases.at("r1", 10);
     databases.at("r2", 8);
@@ -152,6 +158,11 @@
     time.advance(50);
   }
 
+  private @Nullable PrimaryRecord storedRecord() {
+    String key = ControlKeys.primary(GROUP);
+    return store.value(key) == null ? null : ControlKeys.decodePrimary(key, store.value(key), 1);
+  }
+
   private void change() {
     change(false);
   }
@@ -165,6 +176,7 @@
             new Members(),
             (group, database, holder, fence, done) -> {
               steps.add("promote " + database);
+              recordAtCall = storedRecord();
               databases.answers.put(
                   database,
                   new DatabaseControl.DatabaseStatus(
@@ -314,12 +326,44 @@
 
     @Test
     void afterAnInterruptedChangeTheOldPrimaryIsNotKept() {
-      old = new PrimaryRecord(GROUP, "p", 1, true, 1, old.revision());
+      old = new PrimaryRecord(GROUP, "p", 1, true, 1, "", old.revision());
       change(true);
       time.advance(6_000);
       assertTrue(steps.contains("promote r1"), steps.toString());
     }
 
+    /**
+     * Guards against a holder that loses the store, and with it the failover lease, and still calls
+     * for a database while the next holder chooses another one.
+     */
+    @Test
+    void nothingIsPromotedBeforeTheCandidateIsRecorded() {
+      change();
+      time.advance(2_000);
+      assertTrue(steps.contains("promote r1"), steps.toString());
+      assertTrue(recordAtCall.changing());
+      assertEquals("r1", recordAtCall.candidate());
+    }
+
+    @Test
+    void nothingIsPromotedWithoutTheStore() {
+      storeLostAtStepDown = true;
+      change();
+      time.advance(10_000);
+      assertTrue(steps.contains("step down p"), steps.toString());
+      assertTrue(steps.stream().noneMatch(step -> step.startsWith("promote")), steps.toString());
+      assertTrue(steps.contains("done false"), steps.toString());
+    }
+
+    /** Guards against writes of the table that are given up although they took effect. */
+    @Test
+    void aWriteWithoutAnAnswerIsFoundInTheTable() {
+      connection.fault = FaultyTransactions.Fault.EXECUTED_AT_ONCE;
+      change();
+      time.advance(10_000);
+      assertTrue(steps.contains("done true"), steps.toString());
+    }
+
     @Test
     void nothingIsPromotedWithoutTheFailoverLease() {
       failoverLeaseHeld = false;
@@ -333,6 +377,25 @@
   @Nested
   class Choice {
 
+    /** Guards against two primaries when the call of an interrupted change takes effect late. */
+    @ParameterizedTest
+    @ValueSource(strings = {"r1", "r2"})
+    void candidateOfAnInterruptedChangeIsPromotedAgain(String candidate) {
+      databases.at("r2", 10);
+      old = new PrimaryRecord(GROUP, "p", 1, true, 1, candidate, old.revision());
+      change();
+      time.advance(6_000);
+      assertTrue(steps.contains("promote " + candidate), steps.toString());
+    }
+
+    @Test
+    void candidateOfAnInterruptedChangeThatIsBehindIsNotPromoted() {
+      old = new PrimaryRecord(GROUP, "p", 1, true, 1, "r2", old.revision());
+      change();
+      time.advance(6_000);
+      assertTrue(steps.contains("promote r1"), steps.toString());
+    }
+
     @Test
     void leavingReplicaIsNotChosen() {
       databases.draining.add("r1");
--- a/core/src/test/java/org/pollenspar/core/process/ReplicaSetRecorderTest.java
+++ b/core/src/test/java/org/pollenspar/core/process/ReplicaSetRecorderTest.java
@@ -114,7 +114,7 @@
   }
 
   private void advance(long millis) {
-    PrimaryRecord primary = new PrimaryRecord(GROUP, "p", 1, false, fence, 1);
+    PrimaryRecord primary = PrimaryRecord.leading(GROUP, "p", 1, fence, 1);
     for (long passed = 0; passed < millis; passed += 250) {
       recorder.check(primary, fence);
       time.advance(250);
--- a/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
@@ -336,6 +336,7 @@
       router.databases(entries);
       dependencies.log().changed("databases_changed", group, entries.toString());
       homes.schedule();
+      failoverCoordinator.databasesChanged(group);
     }
   }
 
