core: each registered member is asked before a primary is replaced

Cause: a member that had registered again since the intent counted as revoked without being asked. A registration without an answer may be executed seconds later, when its sender uses the old primary and has not read the intent. A late removal of a stopped process took its next incarnation out of the members. And a holder whose table named an older shared lease ended that one, while members could renew the current one.

Change: PrimaryRevocation asks every registered member at the address of its latest registration, and ends the lease that was current when the intent was written. Registration and removal require the member's record to be as it was when they were sent.

--- a/core/src/main/java/org/pollenspar/core/process/ConfirmationRenewer.java
+++ b/core/src/main/java/org/pollenspar/core/process/ConfirmationRenewer.java
@@ -16,12 +16,13 @@
  *
  * <p>While the store serves no host, no host can begin a change. So the other members can extend
  * the confirmation if each of them reports that the store does not serve it, that it has no change
- * in progress, and that its last confirmation came from the same shared lease; a member with an
- * older lease may have missed a change. One member that does not answer prevents the extension,
- * because the store may still serve that member. All members that this host knows may be cut off
- * from the store while it serves a member that joined later. So the store's last confirmation is
- * extended for a limited time only, and a host that joined recently waits for that time before it
- * replaces a primary without the consent of all members.
+ * in progress, that its last confirmation came from the same shared lease, and that it knows of no
+ * change that began since that lease was created; a member with an older lease may have missed a
+ * change, and the host that began a change may have given it up. One member that does not answer
+ * prevents the extension, because the store may still serve that member. All members that this host
+ * knows may be cut off from the store while it serves a member that joined later. So the store's
+ * last confirmation is extended for a limited time only, and a host that joined recently waits for
+ * that time before it replaces a primary without the consent of all members.
  *
  * <p>A confirmation counts only while this host is registered, because hosts that are not
  * registered are not asked to stop using a primary.
@@ -129,10 +130,14 @@
     return leaving.getAsBoolean() || self.equals(table.member(self.name()));
   }
 
+  /**
+   * Registers this host, unless its record has changed: an earlier call that is executed late must
+   * not replace a later registration.
+   */
   private void register() {
     String key = ControlKeys.member(self.name());
     store.transact(
-        List.of(),
+        List.of(new CoordinationStore.Expectation(key, table.revision(key))),
         List.of(new CoordinationStore.Put(key, ControlKeys.encode(self), 0)),
         List.of(),
         reply -> {
@@ -145,6 +150,20 @@
         });
   }
 
+  /**
+   * Removes this host from the members; its confirmation no longer holds from now on. A call that
+   * is executed late does not remove a later registration.
+   */
+  public void unregister(Runnable done) {
+    confirmation.withdraw();
+    String key = ControlKeys.member(self.name());
+    store.transact(
+        List.of(new CoordinationStore.Expectation(key, table.revision(key))),
+        List.of(),
+        List.of(key),
+        ignored -> done.run());
+  }
+
   /** Creates a shared lease if there is none or the last one has ended. */
   public void createSharedLease() {
     long revision = table.revision(ControlKeys.SHARED_LEASE);
@@ -201,10 +220,13 @@
 
   /**
    * Returns whether the store did not serve the last renewal by this host, its last confirmation
-   * came from the given shared lease, and it knows of no later shared lease.
+   * came from the given shared lease, and it knows of no later shared lease or change.
    */
   public boolean confirmsStoreOutage(long lease) {
-    return storeOutage && lease != 0 && lease == confirmedLease && lease == table.sharedLease();
+    return storeOutage
+        && lease != 0
+        && lease == confirmedLease
+        && lease == table.sharedLease();
   }
 
   private void requestExtension() {
--- a/core/src/main/java/org/pollenspar/core/process/PrimaryRevocation.java
+++ b/core/src/main/java/org/pollenspar/core/process/PrimaryRevocation.java
@@ -38,6 +38,7 @@
   private final Completion completion;
   private final Consumer<String> failed;
   private final Set<String> pending = new HashSet<>();
+  private long endedLease;
   private long leaseEndedNanos;
   private boolean ended;
 
@@ -61,10 +62,11 @@
   }
 
   void start() {
+    endedLease = context.table().sharedLease();
     context
         .store()
         .endLease(
-            context.table().sharedLease(),
+            endedLease,
             reply -> {
               boolean over = reply.done() || reply.status() == CoordinationStore.Status.NOT_FOUND;
               if (!over) {
@@ -93,19 +95,39 @@
                 return;
               }
               context.table().load(reply.items(), reply.revision());
+              if (endedAnOlderLease()) {
+                start();
+                return;
+              }
               List<Member> members = List.copyOf(context.table().members());
               members.forEach(member -> pending.add(member.name()));
-              members.forEach(this::revoke);
+              members.forEach(member -> revoke(member.name()));
               poll();
             });
   }
 
-  private void revoke(Member member) {
-    if (ended || !pending.contains(member.name())) {
+  /**
+   * Returns whether this host's table named an older lease than the one that members could renew
+   * without reading the intent.
+   */
+  private boolean endedAnOlderLease() {
+    return context.table().sharedLease() != endedLease
+        && context.table().revision(ControlKeys.SHARED_LEASE) < intentRevision;
+  }
+
+  /**
+   * Asks a member to stop using the old primary, at the address of its latest registration. One
+   * that has registered again since the intent is asked as well: its registration may have been
+   * executed late, and writes that it sent earlier may be under way. A member is removed from the
+   * table only after its confirmation has expired or when it leaves.
+   */
+  private void revoke(String name) {
+    if (ended || !pending.contains(name)) {
       return;
     }
-    if (confirmationVoid(member)) {
-      acknowledged(member);
+    @Nullable Member member = context.table().member(name);
+    if (member == null) {
+      acknowledged(name);
       return;
     }
     context
@@ -116,27 +138,15 @@
             intentRevision,
             acknowledged -> {
               if (acknowledged) {
-                acknowledged(member);
+                acknowledged(name);
               } else {
-                context.timers().after(RETRY_MS, () -> revoke(member));
+                context.timers().after(RETRY_MS, () -> revoke(name));
               }
             });
   }
 
-  /**
-   * Returns whether the table shows that a member no longer uses the old primary. A member that
-   * registers again, after a start or a suspension, has read the intent; one is removed only after
-   * its confirmation has expired or when it leaves. A suspension alone does not show this.
-   */
-  private boolean confirmationVoid(Member member) {
-    @Nullable Member now = context.table().member(member.name());
-    boolean registeredLater =
-        context.table().revision(ControlKeys.member(member.name())) > intentRevision;
-    return now == null || (registeredLater && !now.suspended());
-  }
-
-  private void acknowledged(Member member) {
-    pending.remove(member.name());
+  private void acknowledged(String member) {
+    pending.remove(member);
     check();
   }
 
--- a/core/src/test/java/org/pollenspar/core/process/PrimaryChangeTest.java
+++ b/core/src/test/java/org/pollenspar/core/process/PrimaryChangeTest.java
@@ -364,6 +364,41 @@
       assertTrue(steps.contains("done true"), steps.toString());
     }
 
+    /**
+     * Guards against a member that is taken as revoked because it has registered since the intent:
+     * the registration may have been executed late, before the member has read the intent.
+     */
+    @Test
+    void memberThatRegistersAgainIsStillAsked() {
+      put(
+          ControlKeys.member("host"),
+          ControlKeys.encode(new Member("host", "h", "1", "", 1_000, false)));
+      String silent = ControlKeys.encode(new Member("silent", "s", "1", "", 1_000, false));
+      put(ControlKeys.member("silent"), silent);
+      change();
+      time.advance(200);
+      put(ControlKeys.member("silent"), silent);
+      reload();
+      time.advance(3_000);
+      assertTrue(steps.stream().noneMatch(step -> step.startsWith("promote")), steps.toString());
+    }
+
+    /** Guards against members that renew a shared lease which this host does not know. */
+    @Test
+    void sharedLeaseThatTheTableLacksIsEnded() {
+      long[] lease = {0};
+      connection.grantLease(60_000, reply -> lease[0] = reply.lease());
+      time.advance(50);
+      put(ControlKeys.SHARED_LEASE, ControlKeys.encodeSharedLease(lease[0]));
+      change();
+      time.advance(2_000);
+      List<CoordinationStore.Status> renewals = new ArrayList<>();
+      connection.renewLease(lease[0], reply -> renewals.add(reply.status()));
+      time.advance(50);
+      assertEquals(List.of(CoordinationStore.Status.NOT_FOUND), renewals);
+      assertTrue(steps.contains("done true"), steps.toString());
+    }
+
     @Test
     void nothingIsPromotedWithoutTheFailoverLease() {
       failoverLeaseHeld = false;
--- a/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
@@ -465,13 +465,6 @@
 
   /** Removes this host from the members; its confirmation no longer holds from now on. */
   public void unregister(Runnable done) {
-    confirmation.withdraw();
-    dependencies
-        .store()
-        .transact(
-            List.of(),
-            List.of(),
-            List.of(ControlKeys.member(dependencies.self().name())),
-            ignored -> done.run());
+    confirmationRenewer.unregister(done);
   }
 }
