core: no outage of the store is confirmed once a change has begun

Cause: members extend each other's confirmations during an outage of the store if each reports the outage and no change in progress. A host that had begun a change, ended the shared lease and given the change up because the store failed reported both. So a member that had been silent meanwhile could use the old primary again.

Change: a host that knows of a change which began after the shared lease was created, from the table or a revocation, neither confirms an outage for that lease nor asks for an extension. Test, red without the change: ConfirmationRenewerTest outageIsNotConfirmedOnceAChangeHasBegun.

--- a/core/src/main/java/org/pollenspar/core/process/ConfirmationRenewer.java
+++ b/core/src/main/java/org/pollenspar/core/process/ConfirmationRenewer.java
@@ -226,7 +226,8 @@
     return storeOutage
         && lease != 0
         && lease == confirmedLease
-        && lease == table.sharedLease();
+        && lease == table.sharedLease()
+        && !table.changeBegunSinceSharedLease();
   }
 
   private void requestExtension() {
@@ -241,6 +242,7 @@
         storeOutage
             && confirmed
             && registered()
+            && !table.changeBegunSinceSharedLease()
             && confirmation.extendable()
             && confirmation.ageMillis() >= EXTENSION_AGE_MS;
     if (!allowed || askingMembers || others.isEmpty()) {
--- a/core/src/main/java/org/pollenspar/core/process/FleetTable.java
+++ b/core/src/main/java/org/pollenspar/core/process/FleetTable.java
@@ -158,6 +158,14 @@
     return item == null || item.deleted() ? null : item.value();
   }
 
+  /**
+   * Returns whether a change of a primary is known to have begun after the shared lease was
+   * created, so that the lease has been ended or soon will be.
+   */
+  boolean changeBegunSinceSharedLease() {
+    return authority.newestIntentRevision() > revision(ControlKeys.SHARED_LEASE);
+  }
+
   /** Returns the id of the lease that all members share; 0 if there is none. */
   public long sharedLease() {
     @Nullable String value = value(ControlKeys.SHARED_LEASE);
--- a/core/src/main/java/org/pollenspar/core/process/PrimaryAuthority.java
+++ b/core/src/main/java/org/pollenspar/core/process/PrimaryAuthority.java
@@ -25,6 +25,7 @@
   private final Map<String, List<Runnable>> writesFinishedTasks = new HashMap<>();
   private final Set<String> unacknowledgedRevocations = new HashSet<>();
   private final List<Consumer<String>> recordListeners = new ArrayList<>();
+  private long newestIntentRevision;
 
   /** Creates an authority that knows no primary. */
   public PrimaryAuthority(Confirmation confirmation) {
@@ -45,6 +46,9 @@
     if (known != null && older(record, known)) {
       return;
     }
+    if (record.changing() && (known == null || !known.changing())) {
+      newestIntentRevision = Math.max(newestIntentRevision, record.revision());
+    }
     boolean changes = known == null || !known.equals(record);
     records.put(record.group(), record);
     if (!record.changing()) {
@@ -63,6 +67,7 @@
 
   /** Stops the use of a group's primary because a host is about to replace it. */
   public void revoke(String group, long revision) {
+    newestIntentRevision = Math.max(newestIntentRevision, revision);
     @Nullable PrimaryRecord known = records.get(group);
     if (known != null && known.revision() < revision) {
       if (!known.changing()) {
@@ -73,6 +78,11 @@
     }
   }
 
+  /** Returns the revision at which the latest known change of any group's primary began. */
+  long newestIntentRevision() {
+    return newestIntentRevision;
+  }
+
   /** Returns null before the record of the group is known. */
   public @Nullable PrimaryRecord record(String group) {
     return records.get(group);
--- a/core/src/test/java/org/pollenspar/core/process/ConfirmationRenewerTest.java
+++ b/core/src/test/java/org/pollenspar/core/process/ConfirmationRenewerTest.java
@@ -114,4 +114,14 @@
     time.advance(50);
     assertEquals("2", registeredIncarnation());
   }
+
+  /** The host that began a change may have given it up, so it does not report one in progress. */
+  @Test
+  void outageIsNotConfirmedOnceAChangeHasBegun() {
+    store.refuse("a", 60_000);
+    time.advance(5_000);
+    assertTrue(renewer.confirmsStoreOutage(table.sharedLease()));
+    authority.revoke("ledger", table.revision(ControlKeys.SHARED_LEASE) + 1);
+    assertFalse(renewer.confirmsStoreOutage(table.sharedLease()));
+  }
 }
