core: an answer of the primary that shows a newer term is not used

Cause: a replica answers a plain read. A primary that a late call has replaced follows the new one within a second, and hosts that still have it as the primary took its answers for current. The position in the answer, which names the term, was not looked at.

Change: a read at the primary whose answer shows a newer term counts as stale: it is tried again and then refused, a transaction is aborted. Test, red without the change: CallerSessionTest.Reads ofThePrimaryThatShowsANewerTermAreNotAnswered.

--- a/core/src/main/java/org/pollenspar/core/connection/SessionTransaction.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SessionTransaction.java
@@ -378,7 +378,7 @@
             timedOut
                 ? "the statement exceeded its time limit; the transaction is rolled back"
                 : "the connection to the database was lost; the transaction is rolled back");
-      } else if (answer.ok() && primaryMayBeReplaced(heldConnection)) {
+      } else if (answer.ok() && primaryMayBeReplaced(heldConnection, answer)) {
         abort("the primary is being replaced; the transaction is rolled back");
       } else {
         failed = answer.state() != TransactionState.OPEN;
@@ -389,11 +389,12 @@
       }
     }
 
-    private boolean primaryMayBeReplaced(PooledDatabaseConnection heldConnection) {
+    private boolean primaryMayBeReplaced(PooledDatabaseConnection held, Answer answer) {
       return atPrimary
-          && !router
-              .authority()
-              .mayAcknowledgeWrite(router.group(), heldConnection.pool().entry().id(), term);
+          && (answer.showsTermAfter(term)
+              || !router
+                  .authority()
+                  .mayAcknowledgeWrite(router.group(), held.pool().entry().id(), term));
     }
 
     private Answer withState(Answer answer) {
--- a/core/src/main/java/org/pollenspar/core/connection/SingleStatement.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SingleStatement.java
@@ -201,7 +201,7 @@
       router.authority().writeEnded(router.group());
     } else if (!answer.ok()) {
       readFailed(pool, answer);
-    } else if (mayBeStale(pool, sentAt, term)) {
+    } else if (mayBeStale(pool, answer, sentAt, term)) {
       retryOr(AnswerCode.BUSY, "the answer may be stale; retry later");
     } else {
       pool.markUpToDate();
@@ -243,13 +243,15 @@
 
   /**
    * Returns whether the answer to a read may be older than its route permits. An answer of the
-   * primary may be if the database may no longer be the primary of the term; an answer of a replica
-   * if this host was paused, since the steady clock that measures staleness stood still.
+   * primary may be if the database may no longer be the primary of the term or shows a newer one;
+   * an answer of a replica if this host was paused, since the steady clock that measures staleness
+   * stood still.
    */
-  private boolean mayBeStale(ConnectionPool pool, ClockReading sentAt, long term) {
+  private boolean mayBeStale(ConnectionPool pool, Answer answer, ClockReading sentAt, long term) {
     GroupRouter.@Nullable StatementTarget at = target;
     if (at != null && at.primary()) {
-      return !router.authority().leads(router.group(), pool.entry().id(), term);
+      return answer.showsTermAfter(term)
+          || !router.authority().leads(router.group(), pool.entry().id(), term);
     }
     return sentAt.pausedMillis(context.clocks()) > PAUSE_MS;
   }
--- a/core/src/main/java/org/pollenspar/core/request/Answer.java
+++ b/core/src/main/java/org/pollenspar/core/request/Answer.java
@@ -36,4 +36,12 @@
   public boolean ok() {
     return code == AnswerCode.OK;
   }
+
+  /**
+   * Returns whether the database's log shows a newer term than the given one, so that the database
+   * no longer is the primary of that term. A plain read at a replica succeeds.
+   */
+  public boolean showsTermAfter(long term) {
+    return position != null && position.term() > term;
+  }
 }
--- a/core/src/test/java/org/pollenspar/core/connection/CallerSessionTest.java
+++ b/core/src/test/java/org/pollenspar/core/connection/CallerSessionTest.java
@@ -229,6 +229,22 @@
       assertEquals(AnswerCode.BUSY, caller.answers.get(0).code());
     }
 
+    /**
+     * Guards against stale reads at a primary that was replaced without this host's knowledge: a
+     * replica answers a plain read, too.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void ofThePrimaryThatShowsANewerTermAreNotAnswered(boolean inTransaction) {
+      var caller = fixture.caller("till");
+      assertEquals(AnswerCode.OK, caller.read("1").code());
+      fixture.databases.positions.put("p", new Position(2, 101));
+      if (inTransaction) {
+        caller.ask(new SessionStatement.Begin(true));
+      }
+      assertFalse(caller.read("1").ok());
+    }
+
     @Test
     void thatMayBeStaleNeedAKnownPositionAndThenUseReplicas() {
       var caller = fixture.caller("old");
