core: the write of a primary's record and the tests of the choice are classes of their own

PrimaryRecordWrite writes the record and looks up a write without an answer; the tests of the choice are in PrimaryChoiceTest, what both share in PrimaryChangeScenario. No behaviour and no test changed.

--- a/core/src/main/java/org/pollenspar/core/process/PrimaryChange.java
+++ b/core/src/main/java/org/pollenspar/core/process/PrimaryChange.java
@@ -43,9 +43,6 @@
   /** How long after it was sent a call to promote a database may still take effect. */
   private static final long LATE_PROMOTION_MS = 3_000;
 
-  /** How often a write of the table is tried if it gets no answer. */
-  private static final int WRITE_ATTEMPTS = 3;
-
   private final ControlContext context;
   private final PrimaryRecord old;
   private final long fence;
@@ -107,11 +104,11 @@
     write(
         old.changingTo(candidate, fence),
         old.revision(),
-        reply -> {
+        revision -> {
           if (ended) {
             return;
           }
-          intentRevision = reply.revision();
+          intentRevision = revision;
           revocation =
               new PrimaryRevocation(
                   context,
@@ -123,63 +120,15 @@
         });
   }
 
-  /** Writes a record if neither it nor the failover lease changed; ends the change otherwise. */
-  private void write(PrimaryRecord record, long expected, Consumer<CoordinationStore.Reply> next) {
-    write(record, expected, WRITE_ATTEMPTS, next);
-  }
-
-  private void write(
-      PrimaryRecord record, long expected, int attempts, Consumer<CoordinationStore.Reply> next) {
-    String key = ControlKeys.primary(group());
-    context
-        .store()
-        .transact(
-            List.of(
-                new CoordinationStore.Expectation(key, expected),
-                new CoordinationStore.Expectation(ControlKeys.FAILOVER_LEASE, fence)),
-            List.of(new CoordinationStore.Put(key, ControlKeys.encode(record), 0)),
-            List.of(),
-            reply -> {
-              boolean repeated = attempts < WRITE_ATTEMPTS;
-              boolean unknown =
-                  reply.status() == CoordinationStore.Status.UNKNOWN
-                      || (repeated && reply.status() == CoordinationStore.Status.CONFLICT);
-              if (reply.done()) {
-                next.accept(reply);
-              } else if (unknown && attempts > 1 && !ended) {
-                confirmWrite(record, expected, attempts - 1, next);
-              } else {
-                end(false, "the table could not be written: " + reply.status());
-              }
-            });
-  }
-
-  /** Reads whether a write without an answer took effect, and repeats it otherwise. */
-  private void confirmWrite(
-      PrimaryRecord record, long expected, int attempts, Consumer<CoordinationStore.Reply> next) {
-    String key = ControlKeys.primary(group());
-    context
-        .store()
-        .range(
-            key,
-            reply -> {
-              CoordinationStore.@Nullable Item found =
-                  reply.items().stream()
-                      .filter(item -> item.key().equals(key))
-                      .findFirst()
-                      .orElse(null);
-              if (!reply.done() || found == null) {
-                end(false, "the table could not be read: " + reply.status());
-              } else if (found.revision() == expected) {
-                write(record, expected, attempts, next);
-              } else if (found.value().equals(ControlKeys.encode(record))) {
-                next.accept(
-                    new CoordinationStore.Reply(
-                        CoordinationStore.Status.DONE, List.of(), found.revision(), 0));
-              } else {
-                end(false, "another host has changed the table");
-              }
-            });
+  /** Writes a record of this group; ends the change if that fails. */
+  private void write(PrimaryRecord record, long expected, Consumer<Long> next) {
+    new PrimaryRecordWrite(
+            context.store(),
+            record,
+            expected,
+            next,
+            failure -> end(false, "the table could not be written: " + failure))
+        .start();
   }
 
   private void revokedByAllMembers(long waitedMillis, Set<String> unanswered) {
@@ -445,8 +394,8 @@
     write(
         old.changingTo(database, fence),
         intentRevision,
-        reply -> {
-          intentRevision = reply.revision();
+        revision -> {
+          intentRevision = revision;
           candidate = database;
           promote(database);
         });
@@ -513,15 +462,12 @@
     write(
         leader,
         intentRevision,
-        reply -> {
+        revision -> {
           context
               .table()
               .apply(
                   new CoordinationStore.Item(
-                      ControlKeys.primary(group()),
-                      ControlKeys.encode(leader),
-                      reply.revision(),
-                      false));
+                      ControlKeys.primary(group()), ControlKeys.encode(leader), revision, false));
           end(true, database + " leads term " + term);
         });
   }
--- a/core/src/test/java/org/pollenspar/core/process/FaultyTransactions.java
+++ b/core/src/test/java/org/pollenspar/core/process/FaultyTransactions.java
@@ -31,13 +31,13 @@
       List<Expectation> expected, List<Put> puts, List<String> deletes, Consumer<Reply> done) {
     Reply noAnswer = new Reply(Status.UNKNOWN, List.of(), 0, 0);
     switch (fault) {
-      case NONE -> target.transact(expected, puts, deletes, done);
       case EXECUTED_AT_ONCE ->
           target.transact(expected, puts, deletes, ignored -> done.accept(noAnswer));
       case EXECUTED_LATER -> {
         held.add(() -> target.transact(expected, puts, deletes, ignored -> {}));
         done.accept(noAnswer);
       }
+      default -> target.transact(expected, puts, deletes, done);
     }
   }
 
