--- a/failover/src/test/java/org/pollenspar/failover/process/FailoverProgramTest.java
+++ b/failover/src/test/java/org/pollenspar/failover/process/FailoverProgramTest.java
@@ -19,10 +19,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
+import java.util.random.RandomGenerator;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -78,6 +80,7 @@
       connections_per_database = 50
       """;
 
+  private final RandomGenerator random = new SplittableRandom();
   private final Closer closer = new Closer();
   private final List<DatabaseStandin> databases = new ArrayList<>();
   private final List<Integer> adminPorts = new ArrayList<>();
