Log promotion calls, acknowledged revocations and claims of the primary's role

No logic is changed:

* promotion_called, promotion_answered: each call, its number within the change, its outcome and how long it took;
* group_released also says how many members were asked;
* revocation_acknowledged on each host: writes still in progress and the age of the confirmation;
* primary_claimed: a database begins to register as the primary that the table doesn't name.

PrimaryChange logs through one method.

--- a/core/src/main/java/org/pollenspar/core/process/FailoverCoordinator.java
+++ b/core/src/main/java/org/pollenspar/core/process/FailoverCoordinator.java
@@ -313,6 +313,11 @@
       return;
     }
     state.claimsCheckedNanos.put(claimant, now());
+    if (checked == null) {
+      context
+          .listener()
+          .changed("primary_claimed", record.group(), claimant + " registers, known is " + record);
+    }
     context
         .databases()
         .status(
--- a/core/src/main/java/org/pollenspar/core/process/PrimaryAuthority.java
+++ b/core/src/main/java/org/pollenspar/core/process/PrimaryAuthority.java
@@ -119,6 +119,11 @@
     unacknowledgedRevocations.remove(group);
   }
 
+  /** Returns how many writes and commits of a group were sent to the primary and not answered. */
+  public int writesInProgress(String group) {
+    return writesInProgress.getOrDefault(group, 0);
+  }
+
   /** Must be called when a write or commit is sent to the primary of a group. */
   public void writeStarted(String group) {
     writesInProgress.merge(group, 1, Integer::sum);
@@ -137,7 +142,7 @@
 
   /** Runs a task once no write of the group is in progress; at once if none is. */
   public void whenWritesFinished(String group, Runnable task) {
-    if (writesInProgress.getOrDefault(group, 0) == 0) {
+    if (writesInProgress(group) == 0) {
       task.run();
     } else {
       writesFinishedTasks.computeIfAbsent(group, key -> new ArrayList<>()).add(task);
--- a/core/src/main/java/org/pollenspar/core/process/PrimaryChange.java
+++ b/core/src/main/java/org/pollenspar/core/process/PrimaryChange.java
@@ -57,6 +57,7 @@
 
   private @Nullable String promoted;
   private long promotedNanos;
+  private int calls;
   private long intentRevision;
   private @Nullable PrimaryRevocation revocation;
   private List<String> reportedWait = List.of();
@@ -97,10 +98,12 @@
     return old.group();
   }
 
+  private void log(String event, String detail) {
+    context.listener().changed(event, group(), detail);
+  }
+
   void start(String reason) {
-    context
-        .listener()
-        .changed("change_started", group(), "primary " + old.database() + ": " + reason);
+    log("change_started", "primary " + old.database() + ": " + reason);
     write(
         old.changingTo(candidate, fence),
         old.revision(),
@@ -131,13 +134,10 @@
         .start();
   }
 
-  private void revokedByAllMembers(long waitedMillis, Set<String> unanswered) {
-    context
-        .listener()
-        .changed(
-            "group_released",
-            group(),
-            "after " + waitedMillis + " ms, no answer from " + unanswered);
+  private void revokedByAllMembers(long waitedMillis, int asked, Set<String> unanswered) {
+    log(
+        "group_released",
+        "after " + waitedMillis + " ms, " + asked + " members asked, no answer from " + unanswered);
     askOldPrimary();
   }
 
@@ -305,24 +305,14 @@
       context.timers().after(POLL_MS, this::askOldPrimary);
       return;
     }
-    context
-        .listener()
-        .changed(
-            "promoting",
-            group(),
-            best + ", old primary at " + target + ", answers " + new TreeMap<>(statuses));
+    log("promoting", best + ", old primary at " + target + ", answers " + new TreeMap<>(statuses));
     callFor(best);
   }
 
   private void reportWait(List<String> awaited) {
     if (!awaited.equals(reportedWait)) {
       reportedWait = awaited;
-      context
-          .listener()
-          .changed(
-              "promotion_waits",
-              group(),
-              "no answer from " + awaited + ", which may hold acknowledged writes");
+      log("promotion_waits", "no answer from " + awaited + ", which may hold acknowledged writes");
     }
   }
 
@@ -411,6 +401,9 @@
     }
     promoted = database;
     promotedNanos = context.clocks().steadyNanos();
+    long sentNanos = promotedNanos;
+    String call = database + ", call " + ++calls;
+    log("promotion_called", call);
     context
         .promotions()
         .promote(
@@ -419,6 +412,9 @@
             context.holder(),
             fence,
             outcome -> {
+              log(
+                  "promotion_answered",
+                  call + ": " + outcome + " after " + millisSince(sentNanos) + " ms");
               switch (outcome) {
                 case ACCEPTED -> awaitPromotion(database, context.clocks().steadyNanos());
                 case NOT_RUNNING -> {
@@ -481,12 +477,9 @@
     if (revocation != null) {
       revocation.cancel();
     }
-    context
-        .listener()
-        .changed(
-            success ? "primary_changed" : "change_failed",
-            group(),
-            detail + ", " + millisSince(startedNanos) + " ms");
+    log(
+        success ? "primary_changed" : "change_failed",
+        detail + ", " + millisSince(startedNanos) + " ms");
     done.accept(success);
   }
 }
--- a/core/src/main/java/org/pollenspar/core/process/PrimaryRevocation.java
+++ b/core/src/main/java/org/pollenspar/core/process/PrimaryRevocation.java
@@ -27,9 +27,10 @@
      * Called when no member uses the old primary any more.
      *
      * @param waitedMillis time since the shared lease was ended
+     * @param asked how many members were asked
      * @param unanswered members whose confirmations expired without an answer
      */
-    void revoked(long waitedMillis, Set<String> unanswered);
+    void revoked(long waitedMillis, int asked, Set<String> unanswered);
   }
 
   private final ControlContext context;
@@ -38,6 +39,7 @@
   private final Completion completion;
   private final Consumer<String> failed;
   private final Set<String> pending = new HashSet<>();
+  private int asked;
   private long endedLease;
   private long leaseEndedNanos;
   private boolean ended;
@@ -100,6 +102,7 @@
                 return;
               }
               List<Member> members = List.copyOf(context.table().members());
+              asked = members.size();
               members.forEach(member -> pending.add(member.name()));
               members.forEach(member -> revoke(member.name()));
               poll();
@@ -176,7 +179,7 @@
     pending.removeIf(this::confirmationExpired);
     if (pending.isEmpty()) {
       ended = true;
-      completion.revoked(waitedMillis(), unanswered);
+      completion.revoked(waitedMillis(), asked, unanswered);
     }
   }
 }
--- a/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
@@ -400,6 +400,7 @@
    */
   public void revoke(String group, long revision, Consumer<Boolean> done) {
     authority.revoke(group, revision);
+    long receivedNanos = dependencies.clocks().steadyNanos();
     boolean[] acknowledged = {false};
     Runnable acknowledge =
         () -> {
@@ -407,12 +408,30 @@
             acknowledged[0] = true;
             authority.revocationAcknowledged(group);
             done.accept(true);
+            long waited = (dependencies.clocks().steadyNanos() - receivedNanos) / 1_000_000;
+            logAcknowledgement(group, revision, waited);
           }
         };
     authority.whenWritesFinished(group, acknowledge);
     dependencies.timers().after(REVOCATION_TIMEOUT_MS, acknowledge);
   }
 
+  private void logAcknowledgement(String group, long revision, long waitedMillis) {
+    dependencies
+        .log()
+        .changed(
+            "revocation_acknowledged",
+            group,
+            "revision %d, after %d ms, %d writes in progress, confirmation %s"
+                .formatted(
+                    revision,
+                    waitedMillis,
+                    authority.writesInProgress(group),
+                    confirmation.ageMillis() == Long.MAX_VALUE
+                        ? "missing"
+                        : confirmation.ageMillis() + " ms old"));
+  }
+
   /** Renews the shared lease for another member; see {@link FleetMessages#renew}. */
   public void renewForMember(long lease, Consumer<Boolean> done) {
     renewal.renewForMember(lease, done);
