core: a host that leaves renews its confirmation only while it is registered

A leaving host counted as registered, so that it did not register again. When it was suspended, or another process had taken its name, it went on renewing its confirmation although a change neither asks it nor waits for it any more. And the answer to a renewal that was under way when the host unregistered made its confirmation valid again.

A host now renews only while the table holds its own record, and never once it has begun to unregister. Without a record it lets its confirmation expire while it leaves.

On the code before the fix: ConfirmationRenewerTest.suspendedHostThatLeavesDoesNotRenew: expected: <false> but was: <true> ConfirmationRenewerTest.replacedHostThatLeavesDoesNotRenew: expected: <false> but was: <true> ConfirmationRenewerTest.renewalAnsweredAfterUnregisteringDoesNotCount: expected: <false> but was: <true>

--- a/core/src/main/java/org/pollenspar/core/process/ConfirmationRenewer.java
+++ b/core/src/main/java/org/pollenspar/core/process/ConfirmationRenewer.java
@@ -24,8 +24,9 @@
  * last confirmation is extended for a limited time only, and a host that joined recently waits for
  * that time before it replaces a primary without the consent of all members.
  *
- * <p>A confirmation counts only while this host is registered, because hosts that are not
- * registered are not asked to stop using a primary.
+ * <p>A confirmation is renewed only while this host is registered, because hosts that are not
+ * registered are not asked to stop using a primary. A host that leaves does not register again; if
+ * its record was changed, its confirmation expires.
  *
  * <p>Not thread-safe: all calls come from the thread that runs the {@link Timers}.
  */
@@ -54,6 +55,7 @@
   private Timers.@Nullable Timer scheduled;
   private boolean loading;
   private boolean loaded;
+  private boolean unregistered;
   private boolean storeOutage;
   private boolean askingMembers;
   private long renewingLease;
@@ -117,7 +119,9 @@
     if (!loaded) {
       load();
     } else if (!registered()) {
-      register();
+      if (!leaving.getAsBoolean() && !unregistered) {
+        register();
+      }
     } else if (table.sharedLease() == 0) {
       createSharedLease();
     } else {
@@ -125,9 +129,9 @@
     }
   }
 
-  /** A leaving host counts as registered, so that it does not register again. */
+  /** Returns whether the table holds the record of this process, and no suspension of it. */
   private boolean registered() {
-    return leaving.getAsBoolean() || self.equals(table.member(self.name()));
+    return !unregistered && self.equals(table.member(self.name()));
   }
 
   /**
@@ -155,6 +159,7 @@
    * is executed late does not remove a later registration.
    */
   public void unregister(Runnable done) {
+    unregistered = true;
     confirmation.withdraw();
     String key = ControlKeys.member(self.name());
     store.transact(
@@ -255,7 +260,7 @@
         (member, answer) -> messages.confirmsStoreOutage(member, confirmedLease, answer),
         confirming -> {
           askingMembers = false;
-          if (confirming == others.size() && storeOutage) {
+          if (confirming == others.size() && storeOutage && registered()) {
             confirmation.extended(sent);
           }
         });
--- a/core/src/test/java/org/pollenspar/core/process/ConfirmationRenewerTest.java
+++ b/core/src/test/java/org/pollenspar/core/process/ConfirmationRenewerTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
@@ -11,8 +12,9 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Guards against registrations that are changed by calls which the store executes late, and against
- * members that vouch for an outage of the store although a change of a primary has begun.
+ * Guards against registrations that are changed by calls which the store executes late, against
+ * confirmations of hosts that a change of a primary does not wait for, and against members that
+ * vouch for an outage of the store although a change of a primary has begun.
  */
 class ConfirmationRenewerTest {
   private final FakeTime time = new FakeTime();
@@ -20,7 +22,10 @@
   private final FaultyTransactions connection = faulty();
   private final PrimaryAuthority authority = new PrimaryAuthority(new Confirmation(time));
   private final FleetTable table = new FleetTable(authority, time);
-  private final ConfirmationRenewer renewer = renewer("1", table, connection);
+  private final Confirmation confirmation = new Confirmation(time);
+  private final ConfirmationRenewer renewer =
+      renewer(host("1", "10.0.0.1:1"), table, connection, confirmation);
+  private boolean leaving;
 
   /** Messages that no member answers. */
   private static final class NoAnswers implements FleetMessages {
@@ -54,20 +59,32 @@
     return new FaultyTransactions(store.connection("a", Runnable::run));
   }
 
+  private static Member host(String incarnation, String address) {
+    return new Member("a", address, incarnation, "", 1_000, false);
+  }
+
   private ConfirmationRenewer renewer(
       String incarnation, FleetTable ownTable, CoordinationStore ownConnection) {
-    Member self = new Member("a", "10.0.0.1:1", incarnation, "", 1_000, false);
+    return renewer(
+        host(incarnation, "10.0.0.1:1"), ownTable, ownConnection, new Confirmation(time));
+  }
+
+  private ConfirmationRenewer renewer(
+      Member self,
+      FleetTable ownTable,
+      CoordinationStore ownConnection,
+      Confirmation ownConfirmation) {
     var messages = new NoAnswers();
     return new ConfirmationRenewer(
         ownConnection,
         ownTable,
-        new Confirmation(time),
+        ownConfirmation,
         messages,
         new SharedRenewal(ownConnection, ownTable, messages, time, time, self, 8),
         time,
         self,
         (event, subject, detail) -> {},
-        () -> false);
+        () -> leaving);
   }
 
   @BeforeEach
@@ -115,6 +132,73 @@
     assertEquals("2", registeredIncarnation());
   }
 
+  private void put(String key, String value) {
+    store
+        .connection("b", Runnable::run)
+        .transact(
+            List.of(), List.of(new CoordinationStore.Put(key, value, 0)), List.of(), reply -> {});
+    time.advance(50);
+  }
+
+  private void replaceSharedLease() {
+    CoordinationStore other = store.connection("b", Runnable::run);
+    long[] granted = {0};
+    other.grantLease(60_000, reply -> granted[0] = reply.lease());
+    other.endLease(table.sharedLease(), reply -> {});
+    time.advance(50);
+    put(ControlKeys.SHARED_LEASE, ControlKeys.encodeSharedLease(granted[0]));
+  }
+
+  /** A change waits for a suspended member only until its last possible renewal has expired. */
+  @Test
+  void suspendedHostThatLeavesDoesNotRenew() {
+    leaving = true;
+    put(ControlKeys.member("a"), ControlKeys.encode(host("1", "10.0.0.1:1").asSuspended()));
+    replaceSharedLease();
+    renewer.load();
+    time.advance(Confirmation.VALID_MS + 1_000);
+    assertFalse(confirmation.holds());
+  }
+
+  @Test
+  void hostThatLeavesDoesNotRegisterAgain() {
+    leaving = true;
+    Member suspended = host("1", "10.0.0.1:1").asSuspended();
+    put(ControlKeys.member("a"), ControlKeys.encode(suspended));
+    renewer.load();
+    time.advance(2_000);
+    assertEquals(ControlKeys.encode(suspended), store.value(ControlKeys.member("a")));
+  }
+
+  @Test
+  void registeredHostThatLeavesStillRenews() {
+    leaving = true;
+    time.advance(2 * Confirmation.VALID_MS);
+    assertTrue(confirmation.holds());
+  }
+
+  @Test
+  void replacedHostThatLeavesDoesNotRenew() {
+    leaving = true;
+    put(ControlKeys.member("a"), ControlKeys.encode(host("2", "10.0.0.2:1")));
+    renewer.load();
+    time.advance(Confirmation.VALID_MS + 1_000);
+    assertFalse(confirmation.holds());
+  }
+
+  /** A host that is no member is not asked by a change, so it must not use a primary any more. */
+  @Test
+  void renewalAnsweredAfterUnregisteringDoesNotCount() {
+    renewer.registerOrRenew();
+    time.advance(995);
+    renewer.registerOrRenew();
+    renewer.unregister(() -> {});
+    time.advance(4);
+    assertFalse(confirmation.holds());
+    time.advance(2_000);
+    assertFalse(confirmation.holds());
+  }
+
   /** The host that began a change may have given it up, so it does not report one in progress. */
   @Test
   void outageIsNotConfirmedOnceAChangeHasBegun() {
