core: a host renews its confirmation only after it has read the table that follows its registration

A host that starts ignores events that arrive before its first read of the table. If a change began between that read and the host's registration, and the answer to the read came late, the host had registered, knew the new shared lease from an event and renewed its confirmation on it without having read the intent. The change had read the members before and neither asked nor waited for it. Until the next read was answered, the host acknowledged writes at the replaced primary.

Found by reading; not shown with real processes. A renewal now counts only if the whole table was read at a revision that is not older than the host's registration; such a read contains each change that did not see the registration.

ConfirmationRenewerTest.hostDoesNotRenewBeforeItHasReadTheTableAfterItsRegistration on the code before: expected: <false> but was: <true>.

--- a/core/src/main/java/org/pollenspar/core/process/ConfirmationRenewer.java
+++ b/core/src/main/java/org/pollenspar/core/process/ConfirmationRenewer.java
@@ -55,6 +55,10 @@
   private Timers.@Nullable Timer scheduled;
   private boolean loading;
   private boolean loaded;
+
+  /** Revision of the store at which the whole table was last read. */
+  private long loadedRevision;
+
   private boolean unregistered;
   private boolean storeOutage;
   private boolean askingMembers;
@@ -106,17 +110,22 @@
             listener.changed("table_loaded", "store", reply.items().size() + " keys");
           }
           loaded = true;
-          table.load(reply.items(), reply.revision());
+          applyWholeTable(reply);
           registerOrRenew();
         });
   }
 
+  private void applyWholeTable(CoordinationStore.Reply reply) {
+    table.load(reply.items(), reply.revision());
+    loadedRevision = Math.max(loadedRevision, reply.revision());
+  }
+
   /**
    * Does the next step for the current state of the table: registers this host, creates a shared
    * lease, or renews the confirmation.
    */
   public void registerOrRenew() {
-    if (!loaded) {
+    if (!loaded || (registered() && !loadedSinceRegistration())) {
       load();
     } else if (!registered()) {
       if (!leaving.getAsBoolean() && !unregistered) {
@@ -134,6 +143,15 @@
     return !unregistered && self.equals(table.member(self.name()));
   }
 
+  /**
+   * Returns whether the table was read after this host had registered. Events that arrive before
+   * the first read are ignored, so the table may lack a change that began before the registration,
+   * and which therefore doesn't ask this host.
+   */
+  private boolean loadedSinceRegistration() {
+    return table.revision(ControlKeys.member(self.name())) <= loadedRevision;
+  }
+
   /**
    * Registers this host, unless its record has changed: an earlier call that is executed late must
    * not replace a later registration.
@@ -147,7 +165,9 @@
         reply -> {
           if (reply.done()) {
             listener.changed("registered", self.name(), self.address());
-            load();
+            if (loadedRevision < reply.revision()) {
+              load();
+            }
           } else {
             schedule(RETRY_MS, this::load);
           }
@@ -210,7 +230,8 @@
           storeOutage =
               reply.status() == CoordinationStore.Status.REFUSED
                   || reply.status() == CoordinationStore.Status.UNKNOWN;
-          if (reply.done() && lease == table.sharedLease() && registered()) {
+          boolean member = registered() && loadedSinceRegistration();
+          if (reply.done() && lease == table.sharedLease() && member) {
             confirmation.renewed(sent);
             confirmedLease = lease;
             schedule(RENEWAL_MS, this::registerOrRenew);
@@ -275,7 +296,7 @@
             schedule(RETRY_MS, this::load);
             return;
           }
-          table.load(reply.items(), reply.revision());
+          applyWholeTable(reply);
           if (table.sharedLease() == lease) {
             createSharedLease();
           } else {
--- a/core/src/test/java/org/pollenspar/core/process/ConfirmationRenewerTest.java
+++ b/core/src/test/java/org/pollenspar/core/process/ConfirmationRenewerTest.java
@@ -199,6 +199,41 @@
     assertFalse(confirmation.holds());
   }
 
+  /** The change began between the first read and the registration, so it does not ask this host. */
+  @Test
+  void hostDoesNotRenewBeforeItHasReadTheTableAfterItsRegistration() {
+    put(ControlKeys.primary("ledger"), leading("i-1", false));
+    FaultyTransactions slow = faulty();
+    FleetTable ownTable = emptyTable();
+    Confirmation ownConfirmation = new Confirmation(time);
+    ConfirmationRenewer started = renewer(host("2", "10.0.0.1:1"), ownTable, slow, ownConfirmation);
+    slow.holdsReadAnswers = true;
+    started.load();
+    time.advance(50);
+    put(ControlKeys.primary("ledger"), leading("i-1", true));
+    slow.deliverHeldAnswer();
+    time.advance(50);
+    replaceSharedLease();
+    for (String key : List.of(ControlKeys.SHARED_LEASE, ControlKeys.member("a"))) {
+      store
+          .connection("b", Runnable::run)
+          .range(key, reply -> reply.items().forEach(ownTable::apply));
+    }
+    time.advance(50);
+    started.registerOrRenew();
+    time.advance(50);
+    assertFalse(ownConfirmation.holds());
+    slow.holdsReadAnswers = false;
+    slow.deliverHeldAnswer();
+    time.advance(50);
+    assertTrue(ownConfirmation.holds());
+  }
+
+  private static String leading(String database, boolean changing) {
+    PrimaryRecord record = PrimaryRecord.leading("ledger", database, 3, 1, 0);
+    return ControlKeys.encode(changing ? record.changingTo("", 1) : record);
+  }
+
   /** The host that began a change may have given it up, so it does not report one in progress. */
   @Test
   void outageIsNotConfirmedOnceAChangeHasBegun() {
--- a/core/src/test/java/org/pollenspar/core/process/FaultyTransactions.java
+++ b/core/src/test/java/org/pollenspar/core/process/FaultyTransactions.java
@@ -4,7 +4,10 @@
 import java.util.List;
 import java.util.function.Consumer;
 
-/** A connection to a store on which transactions get no answer while a fault is set. */
+/**
+ * A connection to a store on which transactions get no answer while a fault is set, and on which
+ * the answers to reads can be held up.
+ */
 final class FaultyTransactions implements CoordinationStore {
   /** What happens to the transactions that get no answer. */
   enum Fault {
@@ -15,7 +18,9 @@
 
   private final CoordinationStore target;
   private final List<Runnable> held = new ArrayList<>();
+  private final List<Runnable> heldAnswers = new ArrayList<>();
   Fault fault = Fault.NONE;
+  boolean holdsReadAnswers;
 
   FaultyTransactions(CoordinationStore target) {
     this.target = target;
@@ -26,6 +31,11 @@
     held.get(0).run();
   }
 
+  /** Delivers the answer to the first read that was held up and not delivered yet. */
+  void deliverHeldAnswer() {
+    heldAnswers.remove(0).run();
+  }
+
   @Override
   public void transact(
       List<Expectation> expected, List<Put> puts, List<String> deletes, Consumer<Reply> done) {
@@ -43,7 +53,15 @@
 
   @Override
   public void range(String prefix, Consumer<Reply> done) {
-    target.range(prefix, done);
+    target.range(
+        prefix,
+        reply -> {
+          if (holdsReadAnswers) {
+            heldAnswers.add(() -> done.accept(reply));
+          } else {
+            done.accept(reply);
+          }
+        });
   }
 
   @Override
