core: a change waits for the earlier process of a member's name

Members are known by name. A process that registered under the name of an earlier one at another address replaced its record, so a change asked the new process, took its answer for that of the earlier one, and released the primary while the earlier one could still use it. When the earlier process left, it removed the record of the new one, which a change then did not ask.

Whoever registers in place of a record with another address now keeps that record as a suspended member with a name of its own, in the same transaction. A revocation asks it at its address or waits until its last confirmation has expired, also if it appears while the revocation is in progress. A process removes only its own record. At the same address nothing is kept: the port was free, so the earlier process had ended.

PrimaryChangeScenario: members are silent by address, not by name; all members with the name "silent" have that address, so the tests demand the same.

On the code before the fix: PrimaryChangeTest.earlierProcessOfAMemberIsStillWaitedFor: [change_started, revoke a, revoke silent, revoke host, revoke silent, group_released, step down p, promoting, promote r1, primary_changed, done true] ==> expected: <true> but was: <false> ConfirmationRenewerTest.unregisteringKeepsALaterProcessOfTheSameName: expected: <2> but was: <null> ConfirmationRenewerTest.earlierProcessAtAnotherAddressStaysAMember: [Member[name=a, address=10.0.0.2:1, incarnation=2, ...suspended=false]] ==> expected: <true> but was: <false>

--- a/core/src/main/java/org/pollenspar/core/process/ConfirmationRenewer.java
+++ b/core/src/main/java/org/pollenspar/core/process/ConfirmationRenewer.java
@@ -28,6 +28,10 @@
  * registered are not asked to stop using a primary. A host that leaves does not register again; if
  * its record was changed, its confirmation expires.
  *
+ * <p>A process that registers under the name of an earlier one at another address keeps the earlier
+ * one as a suspended member, since that may still run and use primaries. At the same address the
+ * earlier process has ended, because its port was free.
+ *
  * <p>Not thread-safe: all calls come from the thread that runs the {@link Timers}.
  */
 public final class ConfirmationRenewer {
@@ -140,9 +144,17 @@
    */
   private void register() {
     String key = ControlKeys.member(self.name());
+    List<CoordinationStore.Put> puts = new ArrayList<>();
+    puts.add(new CoordinationStore.Put(key, ControlKeys.encode(self), 0));
+    @Nullable Member earlier = table.member(self.name());
+    if (earlier != null && !earlier.address().equals(self.address())) {
+      Member kept = earlier.asReplaced();
+      puts.add(
+          new CoordinationStore.Put(ControlKeys.member(kept.name()), ControlKeys.encode(kept), 0));
+    }
     store.transact(
         List.of(new CoordinationStore.Expectation(key, table.revision(key))),
-        List.of(new CoordinationStore.Put(key, ControlKeys.encode(self), 0)),
+        puts,
         List.of(),
         reply -> {
           if (reply.done()) {
@@ -155,13 +167,15 @@
   }
 
   /**
-   * Removes this host from the members; its confirmation no longer holds from now on. A call that
-   * is executed late does not remove a later registration.
+   * Removes this process from the members; its confirmation no longer holds from now on. A call
+   * that is executed late does not remove a later registration.
    */
   public void unregister(Runnable done) {
     unregistered = true;
     confirmation.withdraw();
-    String key = ControlKeys.member(self.name());
+    @Nullable Member current = table.member(self.name());
+    boolean replaced = current != null && !current.incarnation().equals(self.incarnation());
+    String key = ControlKeys.member(replaced ? self.asReplaced().name() : self.name());
     store.transact(
         List.of(new CoordinationStore.Expectation(key, table.revision(key))),
         List.of(),
--- a/core/src/main/java/org/pollenspar/core/process/Member.java
+++ b/core/src/main/java/org/pollenspar/core/process/Member.java
@@ -21,4 +21,10 @@
   Member asSuspended() {
     return new Member(name, address, incarnation, domain, processorPermille, true);
   }
+
+  /** Returns the record of this process for the time after another one has taken its name. */
+  Member asReplaced() {
+    String ownName = name + "@" + incarnation;
+    return new Member(ownName, address, incarnation, domain, processorPermille, true);
+  }
 }
--- a/core/src/main/java/org/pollenspar/core/process/PrimaryRevocation.java
+++ b/core/src/main/java/org/pollenspar/core/process/PrimaryRevocation.java
@@ -15,6 +15,10 @@
  * not answer, it waits until their confirmations have expired. For a member that was suspended
  * earlier, the wait counts from the moment this host saw that the member could not renew its
  * confirmation any more.
+ *
+ * <p>A process that registers during the revocation may take the name of a member that has not
+ * answered. That member then becomes a suspended member with a name of its own, and is asked as
+ * well.
  */
 final class PrimaryRevocation {
   private static final long CONFIRMATION_EXPIRY_MS = Confirmation.VALID_MS + Confirmation.MARGIN_MS;
@@ -37,6 +41,7 @@
   private final long intentRevision;
   private final Completion completion;
   private final Consumer<String> failed;
+  private final Set<String> asked = new HashSet<>();
   private final Set<String> pending = new HashSet<>();
   private long endedLease;
   private long leaseEndedNanos;
@@ -99,13 +104,23 @@
                 start();
                 return;
               }
-              List<Member> members = List.copyOf(context.table().members());
-              members.forEach(member -> pending.add(member.name()));
-              members.forEach(member -> revoke(member.name()));
+              context.table().members().forEach(member -> pending.add(member.name()));
+              asked.addAll(pending);
+              List.copyOf(pending).forEach(this::revoke);
               poll();
             });
   }
 
+  /** Asks members that were suspended since the members were read, under names not known then. */
+  private void askReplacedMembers() {
+    for (Member member : List.copyOf(context.table().members())) {
+      if (member.suspended() && asked.add(member.name())) {
+        pending.add(member.name());
+        revoke(member.name());
+      }
+    }
+  }
+
   /**
    * Returns whether this host's table named an older lease than the one that members could renew
    * without reading the intent.
@@ -172,6 +187,7 @@
     if (ended) {
       return;
     }
+    askReplacedMembers();
     Set<String> unanswered = new HashSet<>(pending);
     pending.removeIf(this::confirmationExpired);
     if (pending.isEmpty()) {
--- a/core/src/test/java/org/pollenspar/core/process/ConfirmationRenewerTest.java
+++ b/core/src/test/java/org/pollenspar/core/process/ConfirmationRenewerTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
@@ -199,6 +200,52 @@
     assertFalse(confirmation.holds());
   }
 
+  @Test
+  void unregisteringKeepsALaterProcessOfTheSameName() {
+    renewer(host("2", "10.0.0.2:1"), emptyTable(), faulty(), new Confirmation(time)).load();
+    time.advance(500);
+    leaving = true;
+    renewer.load();
+    time.advance(50);
+    renewer.unregister(() -> {});
+    time.advance(50);
+    assertEquals("2", registeredIncarnation());
+    assertNull(store.value(ControlKeys.member("a@1")));
+  }
+
+  /** A change that replaces a primary must still ask the earlier process or wait for it. */
+  @Test
+  void earlierProcessAtAnotherAddressStaysAMember() {
+    renewer(host("2", "10.0.0.2:1"), emptyTable(), faulty(), new Confirmation(time)).load();
+    time.advance(500);
+    assertEquals("2", registeredIncarnation());
+    FleetTable loaded = emptyTable();
+    store
+        .connection("b", Runnable::run)
+        .range(ControlKeys.PREFIX, reply -> loaded.load(reply.items(), reply.revision()));
+    time.advance(50);
+    assertTrue(
+        loaded.members().stream()
+            .anyMatch(
+                each ->
+                    each.suspended()
+                        && each.incarnation().equals("1")
+                        && each.address().equals("10.0.0.1:1")),
+        loaded.members().toString());
+  }
+
+  /** The port of the address was free, so the earlier process had ended. */
+  @Test
+  void earlierProcessAtTheSameAddressIsReplaced() {
+    restart();
+    FleetTable loaded = emptyTable();
+    store
+        .connection("b", Runnable::run)
+        .range(ControlKeys.PREFIX, reply -> loaded.load(reply.items(), reply.revision()));
+    time.advance(50);
+    assertEquals(1, loaded.members().size());
+  }
+
   /** The host that began a change may have given it up, so it does not report one in progress. */
   @Test
   void outageIsNotConfirmedOnceAChangeHasBegun() {
--- a/core/src/test/java/org/pollenspar/core/process/PrimaryChangeScenario.java
+++ b/core/src/test/java/org/pollenspar/core/process/PrimaryChangeScenario.java
@@ -13,7 +13,7 @@
 
 /**
  * Scenario of tests of {@link PrimaryChange}: a group of a primary "p" and two replicas "r1" and
- * "r2", and a fleet whose members acknowledge each revocation, except one with the name "silent".
+ * "r2", and a fleet whose members acknowledge each revocation, except those at the address "s".
  */
 abstract class PrimaryChangeScenario {
   static final String GROUP = "ledger";
@@ -95,7 +95,7 @@
     }
   }
 
-  /** Members that acknowledge each revocation at once, except one with the name "silent". */
+  /** Members that acknowledge each revocation at once, except at the address "s". */
   final class Members implements FleetMessages {
     @Override
     public void renew(Member member, long lease, Consumer<Boolean> done) {
@@ -110,7 +110,7 @@
     @Override
     public void revoke(Member member, String group, long revision, Consumer<Boolean> done) {
       steps.add("revoke " + member.name());
-      time.after(1, () -> done.accept(!member.name().equals("silent")));
+      time.after(1, () -> done.accept(!member.address().equals("s")));
     }
 
     @Override
--- a/core/src/test/java/org/pollenspar/core/process/PrimaryChangeTest.java
+++ b/core/src/test/java/org/pollenspar/core/process/PrimaryChangeTest.java
@@ -195,6 +195,48 @@
     assertTrue(steps.stream().noneMatch(step -> step.startsWith("promote")), steps.toString());
   }
 
+  /**
+   * Guards against a member that is taken as revoked because a later process registered under its
+   * name at another address and acknowledged the revocation.
+   */
+  @Test
+  void earlierProcessOfAMemberIsStillWaitedFor() {
+    put(
+        ControlKeys.member("host"),
+        ControlKeys.encode(new Member("host", "h", "1", "", 1_000, false)));
+    put(
+        ControlKeys.member("silent"),
+        ControlKeys.encode(new Member("silent", "s", "1", "", 1_000, false)));
+    reload();
+    time.advance(Confirmation.MAX_WITHOUT_STORE_MS);
+    change();
+    time.advance(200);
+    register(new Member("silent", "t", "2", "", 1_000, false));
+    reload();
+    time.advance(3_000);
+    assertTrue(steps.stream().noneMatch(step -> step.startsWith("promote")), steps.toString());
+    time.advance(Confirmation.VALID_MS);
+    assertTrue(steps.contains("done true"), steps.toString());
+  }
+
+  private void register(Member member) {
+    CoordinationStore ownConnection = store.connection(member.name(), Runnable::run);
+    FleetTable ownTable = new FleetTable(new PrimaryAuthority(new Confirmation(time)), time);
+    Members messages = new Members();
+    new ConfirmationRenewer(
+            ownConnection,
+            ownTable,
+            new Confirmation(time),
+            messages,
+            new SharedRenewal(ownConnection, ownTable, messages, time, time, member, 8),
+            time,
+            member,
+            (event, subject, detail) -> {},
+            () -> false)
+        .load();
+    time.advance(100);
+  }
+
   /** Guards against members that renew a shared lease which this host does not know. */
   @Test
   void sharedLeaseThatTheTableLacksIsEnded() {
