core: a leader that is promoted again is published only once the call has taken effect

Cause: a change finds a leader that isn't the recorded candidate, and calls for it, since the candidate may lead a newer term and be unreachable. The leader had replaced the recorded primary before the call, so the check for the end of the promotion was true at once, and the leader was published in its old term 25 ms after the call.

The promotion of a database that leads already now ends with a term newer than the one that it led, or when the accepted call can't take effect any more, as for the present primary.

Evidence: PrimaryChoiceTest.leaderThatIsPromotedAgainIsPublishedOnceTheCallHasTakenEffect on the code before: expected: <4> but was: <2>. The scenario's promotions now take effect after a time; in the other tests after 1 ms.

--- a/core/src/main/java/org/pollenspar/core/process/PrimaryChange.java
+++ b/core/src/main/java/org/pollenspar/core/process/PrimaryChange.java
@@ -406,7 +406,7 @@
     }
     promoted = database;
     DatabaseControl.@Nullable DatabaseStatus status = statuses.get(database);
-    long ledTerm = status != null && status.primary() ? status.term() : 0;
+    long ledTerm = status != null && status.primary() ? status.term() : -1;
     promotion =
         new DatabasePromotion(
             context,
@@ -416,7 +416,7 @@
             fence,
             startedNanos + LIMIT_MS * 1_000_000,
             Math.max(old.term(), ledTerm),
-            each -> hasReplacedOldPrimary(database, each),
+            each -> hasReplacedOldPrimary(database, each) && each.term() > ledTerm,
             this::promotionEnded,
             failure -> end(false, failure));
     promotion.start();
--- a/core/src/test/java/org/pollenspar/core/process/PrimaryChangeScenario.java
+++ b/core/src/test/java/org/pollenspar/core/process/PrimaryChangeScenario.java
@@ -26,6 +26,8 @@
   final List<String> steps = new ArrayList<>();
   boolean failoverLeaseHeld = true;
   boolean storeLostAtStepDown;
+  int promotionMillis = 1;
+  long promotedTerm = 2;
   long failoverLeaseRevision;
   @Nullable PrimaryRecord old;
   @Nullable PrimaryRecord recordAtCall;
@@ -43,6 +45,10 @@
       answers.put(id, new DatabaseStatus(id.equals("p"), 1, new Position(1, number)));
     }
 
+    void lead(String id, long term) {
+      answers.put(id, new DatabaseStatus(true, term, answers.get(id).received()));
+    }
+
     @Override
     public Collection<String> groups() {
       return List.of(GROUP);
@@ -169,10 +175,7 @@
             (group, database, holder, fence, done) -> {
               steps.add("promote " + database);
               recordAtCall = storedRecord();
-              databases.answers.put(
-                  database,
-                  new DatabaseControl.DatabaseStatus(
-                      true, 2, databases.answers.get(database).received()));
+              time.after(promotionMillis, () -> databases.lead(database, promotedTerm));
               time.after(5, () -> done.accept(PromotionService.Outcome.ACCEPTED));
             },
             time,
--- a/core/src/test/java/org/pollenspar/core/process/PrimaryChoiceTest.java
+++ b/core/src/test/java/org/pollenspar/core/process/PrimaryChoiceTest.java
@@ -1,6 +1,8 @@
 package org.pollenspar.core.process;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
@@ -34,6 +36,25 @@
     assertTrue(steps.stream().noneMatch("promote r2"::equals), steps.toString());
   }
 
+  /** Guards against writes in the term that a leader had before it was promoted again. */
+  @ParameterizedTest
+  @ValueSource(longs = {2, 4})
+  void leaderThatIsPromotedAgainIsPublishedOnceTheCallHasTakenEffect(long term) {
+    databases.answers.remove("r2");
+    databases.lead("r1", 2);
+    old = new PrimaryRecord(GROUP, "p", 1, true, 1, "r2", old.revision());
+    promotionMillis = 600;
+    promotedTerm = term;
+    change();
+    time.advance(PromotionCalls.LATE_CALL_MS + PromotionCalls.ACCEPTED_CALL_MS + 1_000);
+    assertTrue(steps.contains("promote r1"), steps.toString());
+    PrimaryRecord published = storedRecord();
+    assertNotNull(published);
+    assertFalse(published.changing(), steps.toString());
+    assertEquals("r1", published.database());
+    assertEquals(term, published.term());
+  }
+
   @Test
   void leavingReplicaIsNotChosen() {
     databases.draining.add("r1");
