core: hosts stop using a primary as soon as another database claims to be it

A promotion call can take effect after its change has ended. Until a change has asked all hosts, they acknowledged writes at the replaced primary. PrimaryClaims suspends the use of a group's recorded primary as soon as another database newly registers as the primary, after the record was written: nothing is started there, and writes under way are in doubt. The claimant is asked for its status; the suspension ends when it leads no newer term, registers as a replica or lapses, or when a later record is published. Heartbeats of an old primary are no claims.

CallerServerTest passes the revision of a registration, which databaseRegistered now takes; nothing that it checks has changed.

--- a/core/src/main/java/org/pollenspar/core/process/PrimaryAuthority.java
+++ b/core/src/main/java/org/pollenspar/core/process/PrimaryAuthority.java
@@ -12,9 +12,10 @@
 /**
  * Decides which database of a group this host may use as the primary.
  *
- * <p>Invariant: a primary is returned only while the {@link Confirmation} is valid and no change of
- * the group's primary is known. Once this host has acknowledged a revocation, it reports no success
- * of a commit that it had sent to the old primary.
+ * <p>Invariant: a primary is returned only while the {@link Confirmation} is valid, no change of
+ * the group's primary is known, and its use is not suspended by {@link PrimaryClaims}. Once this
+ * host has acknowledged a revocation, it reports no success of a commit that it had sent to the old
+ * primary.
  *
  * <p>Not thread-safe: used by the thread that owns the state of the host.
  */
@@ -24,6 +25,7 @@
   private final Map<String, Integer> writesInProgress = new HashMap<>();
   private final Map<String, List<Runnable>> writesFinishedTasks = new HashMap<>();
   private final Set<String> unacknowledgedRevocations = new HashSet<>();
+  private final Set<String> suspendedGroups = new HashSet<>();
   private final List<Consumer<String>> recordListeners = new ArrayList<>();
   private long newestIntentRevision;
 
@@ -78,6 +80,18 @@
     }
   }
 
+  /**
+   * Sets whether the use of a group's primary is suspended. No success of a write or read at it is
+   * reported meanwhile, also of those that were sent before.
+   */
+  void suspend(String group, boolean suspended) {
+    if (suspended) {
+      suspendedGroups.add(group);
+    } else {
+      suspendedGroups.remove(group);
+    }
+  }
+
   /** Returns the revision at which the latest known change of any group's primary began. */
   long newestIntentRevision() {
     return newestIntentRevision;
@@ -91,7 +105,10 @@
   /** Returns the database that may be used as the primary now; null if there is none. */
   public @Nullable String primary(String group) {
     @Nullable PrimaryRecord record = records.get(group);
-    return record != null && !record.changing() && confirmation.holds() ? record.database() : null;
+    if (record == null || record.changing() || suspendedGroups.contains(group)) {
+      return null;
+    }
+    return confirmation.holds() ? record.database() : null;
   }
 
   /** Returns whether a database still is the primary and leads this term. */
@@ -103,12 +120,13 @@
   /**
    * Returns whether the success of a write at a database may be reported: the database is the
    * primary, or its revocation has not been acknowledged yet, so that the host that replaces it
-   * still waits for this host.
+   * still waits for this host. Not while the use of the primary is suspended.
    */
   public boolean mayAcknowledgeWrite(String group, String database, long term) {
     @Nullable PrimaryRecord record = records.get(group);
     return record != null
         && confirmation.holds()
+        && !suspendedGroups.contains(group)
         && record.term() == term
         && record.database().equals(database)
         && (!record.changing() || unacknowledgedRevocations.contains(group));
--- a/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
@@ -32,6 +32,7 @@
 import org.pollenspar.core.process.FleetTable;
 import org.pollenspar.core.process.Member;
 import org.pollenspar.core.process.PrimaryAuthority;
+import org.pollenspar.core.process.PrimaryClaims;
 import org.pollenspar.core.process.PromotionService;
 import org.pollenspar.core.process.SharedRenewal;
 import org.pollenspar.core.process.Timers;
@@ -112,6 +113,7 @@
   private final SharedRenewal renewal;
   private final ConfirmationRenewer confirmationRenewer;
   private final NodeDatabaseControl databaseControl;
+  private final PrimaryClaims primaryClaims;
   private final FailoverCoordinator failoverCoordinator;
   private final DatabaseDirectory directory;
   private final SlotBrokers brokers;
@@ -135,15 +137,7 @@
     this.confirmation = new Confirmation(dependencies.clocks());
     this.authority = new PrimaryAuthority(confirmation);
     this.table = new FleetTable(authority, dependencies.clocks());
-    this.renewal =
-        new SharedRenewal(
-            dependencies.store(),
-            table,
-            dependencies.messages(),
-            dependencies.timers(),
-            dependencies.clocks(),
-            dependencies.self(),
-            SHARED_RENEWAL_MIN_MEMBERS);
+    this.renewal = sharedRenewal();
     this.confirmationRenewer =
         new ConfirmationRenewer(
             dependencies.store(),
@@ -165,6 +159,8 @@
             dependencies.clocks(),
             dependencies.timers(),
             dependencies.statusDecoder());
+    this.primaryClaims =
+        new PrimaryClaims(authority, databaseControl, dependencies.timers(), dependencies.log());
     int takeoverJitter = Math.floorMod(dependencies.self().name().hashCode(), TAKEOVER_JITTER_MS);
     this.failoverCoordinator =
         new FailoverCoordinator(
@@ -194,6 +190,17 @@
     return databaseControl.syncReplicas(group) > 0;
   }
 
+  private SharedRenewal sharedRenewal() {
+    return new SharedRenewal(
+        dependencies.store(),
+        table,
+        dependencies.messages(),
+        dependencies.timers(),
+        dependencies.clocks(),
+        dependencies.self(),
+        SHARED_RENEWAL_MIN_MEMBERS);
+  }
+
   private BrokerClient brokerClient() {
     return new BrokerClient(
         dependencies.self().name(),
@@ -307,9 +314,14 @@
     homes.assign();
   }
 
-  /** Adds a database or applies its changed registration. */
-  public void databaseRegistered(DatabaseEntry entry) {
+  /**
+   * Adds a database or applies its changed registration.
+   *
+   * @param revision revision of the store at which the registration was written
+   */
+  public void databaseRegistered(DatabaseEntry entry, long revision) {
     directory.registered(entry);
+    primaryClaims.registered(entry.group(), entry.id(), entry.primary(), revision);
   }
 
   /** Removes a database after a grace time, unless it registers again. */
@@ -331,8 +343,9 @@
 
   private void databasesChanged(String group) {
     @Nullable GroupRouter router = groupRouters.get(group);
+    List<DatabaseEntry> entries = directory.inGroup(group);
+    primaryClaims.databasesChanged(group, entries.stream().map(DatabaseEntry::id).toList());
     if (router != null) {
-      List<DatabaseEntry> entries = directory.inGroup(group);
       router.databases(entries);
       dependencies.log().changed("databases_changed", group, entries.toString());
       homes.schedule();
@@ -354,6 +367,7 @@
   }
 
   private void primaryChanged(String group) {
+    primaryClaims.recordChanged(group);
     @Nullable GroupRouter router = groupRouters.get(group);
     if (router != null) {
       router.primaryChanged();
