core: a host remembers the revocation of a group whose record it doesn't know yet

A host that was asked to stop using a primary before it had read the record of the group acknowledged this and forgot it; a record of before the revocation that arrived later made it use the replaced primary until the next event. Found by reading.

Also: an old primary that registers again after its registration had lapsed is no claimant; one that a host can't ask would have stopped the new primary there. PrimaryClaimsTest.anOldPrimaryWhoseRegistrationHadLapsedDoesNotStopTheNewOne on the code before: expected: <r1> but was: <null>.

--- a/core/src/main/java/org/pollenspar/core/process/PrimaryAuthority.java
+++ b/core/src/main/java/org/pollenspar/core/process/PrimaryAuthority.java
@@ -25,6 +25,10 @@
   private final Map<String, Integer> writesInProgress = new HashMap<>();
   private final Map<String, List<Runnable>> writesFinishedTasks = new HashMap<>();
   private final Set<String> unacknowledgedRevocations = new HashSet<>();
+
+  /** Revisions of the latest revocations of groups whose record was not known then. */
+  private final Map<String, Long> revokedUnknown = new HashMap<>();
+
   private final Set<String> suspendedGroups = new HashSet<>();
   private final List<Consumer<String>> recordListeners = new ArrayList<>();
   private long newestIntentRevision;
@@ -43,7 +47,9 @@
    * Applies a record of the store. Events and messages from other hosts may arrive out of order, so
    * a record older than the known record or revocation is ignored.
    */
-  public void update(PrimaryRecord record) {
+  public void update(PrimaryRecord stored) {
+    long revokedAt = revokedUnknown.getOrDefault(stored.group(), 0L);
+    PrimaryRecord record = stored.revision() < revokedAt ? stored.revokedAt(revokedAt) : stored;
     @Nullable PrimaryRecord known = records.get(record.group());
     if (known != null && older(record, known)) {
       return;
@@ -71,7 +77,9 @@
   public void revoke(String group, long revision) {
     newestIntentRevision = Math.max(newestIntentRevision, revision);
     @Nullable PrimaryRecord known = records.get(group);
-    if (known != null && known.revision() < revision) {
+    if (known == null) {
+      revokedUnknown.merge(group, revision, Math::max);
+    } else if (known.revision() < revision) {
       if (!known.changing()) {
         unacknowledgedRevocations.add(group);
       }
--- a/core/src/main/java/org/pollenspar/core/process/PrimaryClaims.java
+++ b/core/src/main/java/org/pollenspar/core/process/PrimaryClaims.java
@@ -18,7 +18,7 @@
  * <p>A claim is a registration as the primary that is newer than the record of the primary, by a
  * database that was a replica or was not registered before. Further registrations of a database
  * that is known to have registered as the primary are no claims, so the old primary of a change
- * suspends nothing by its heartbeats.
+ * suspends nothing by its heartbeats, also if its registration had lapsed meanwhile.
  *
  * <p>A claimant is asked for its status, again and again until the claim ends. It ends when
  *
@@ -86,7 +86,10 @@
   private final class GroupClaims {
     private final String group;
 
-    /** Whether each registered database named itself the primary when it registered last. */
+    /**
+     * Whether each database named itself the primary when it registered last. Those that did are
+     * kept when their registration lapses: an old primary that registers again is no claimant.
+     */
     private final Map<String, Boolean> primaries = new HashMap<>();
 
     private final Map<String, Claim> claims = new HashMap<>();
@@ -108,11 +111,17 @@
     }
 
     void retain(Collection<String> registered) {
-      primaries.keySet().retainAll(registered);
+      primaries
+          .entrySet()
+          .removeIf(each -> !registered.contains(each.getKey()) && !isOldPrimary(each.getKey()));
       claims.keySet().retainAll(registered);
       update("the registration of the claimant has lapsed");
     }
 
+    private boolean isOldPrimary(String database) {
+      return Boolean.TRUE.equals(primaries.get(database)) && !claims.containsKey(database);
+    }
+
     void end(Claim claim, String reason) {
       claims.remove(claim.database, claim);
       update(reason);
--- a/core/src/test/java/org/pollenspar/core/process/PrimaryClaimsTest.java
+++ b/core/src/test/java/org/pollenspar/core/process/PrimaryClaimsTest.java
@@ -182,6 +182,26 @@
     assertEquals(List.of(), events);
   }
 
+  /**
+   * An old primary that this host can't ask would stop the new one until it registers as a replica.
+   */
+  @Test
+  void anOldPrimaryWhoseRegistrationHadLapsedDoesNotStopTheNewOne() {
+    authority.update(PrimaryRecord.leading(GROUP, "r1", 2, 2, 30));
+    claims.registered(GROUP, "r1", true, 31);
+    claims.databasesChanged(GROUP, List.of("r1", "r2"));
+    claims.registered(GROUP, "p", true, 40);
+    assertEquals("r1", authority.primary(GROUP));
+  }
+
+  @Test
+  void aClaimantWhoseRegistrationHadLapsedStopsTheUseAgain() {
+    claims.registered(GROUP, "r1", true, 20);
+    claims.databasesChanged(GROUP, List.of("p", "r2"));
+    claims.registered(GROUP, "r1", true, 30);
+    assertNull(authority.primary(GROUP));
+  }
+
   /** The registration of a crashed primary stays for a while, and a new host reads it first. */
   @Test
   void aRegistrationOlderThanTheRecordIsNoClaim() {
