Keep unresolved promotion calls in the record until they can't take effect

Cause: PrimaryChange knew of unresolved calls only while a change was interrupted. A call without an answer was repeated at once. When the repetition had succeeded, the leader was published and the first call forgotten, so the next change promoted a third database while that call could still be executed. An interrupted change waited 3 s, less than calls may take.

Mended: only one database of a group has calls that may take effect late: the candidate of its record (PromotionCalls). The record of a leader keeps it while such a call is unresolved. Another database is promoted or published only when the holder's last such call, and its taking of the failover lease if an earlier holder may have called, are 10 s ago; meanwhile the databases are asked on, and the candidate is published if it leads. This replaces all waits of 3 s. A call without an answer is repeated only if the database does not lead within 1.5 s; PromotionService.Outcome tells calls that were never executed from those without an answer. So a late call names the present primary or the candidate, and changes nothing. A leader that shows the execution of its only call costs no wait. Also: a reply that comes after the failover lease was lost and taken again starts no change with the state of the earlier holding.

PrimaryChoiceTest.candidateOfAnInterruptedChangeThatIsBehindIsNotPromoted checked after 6 s that another database was promoted. It now checks that none is within 10 s, then that one and that the candidate isn't.

--- a/core/src/main/java/org/pollenspar/core/process/FailoverCoordinator.java
+++ b/core/src/main/java/org/pollenspar/core/process/FailoverCoordinator.java
@@ -62,24 +62,9 @@
   private boolean stopped;
   private long lease;
   private long fence;
+  private long leaseTakenNanos;
   private ClockReading renewalSent;
 
-  /** What this host knows of a group while it holds the failover lease. */
-  private static final class GroupState {
-    @Nullable PrimaryChange change;
-    boolean probing;
-    long failedProbesSinceNanos;
-    int failedProbes;
-    boolean askingMembers;
-    long unregisteredSinceNanos;
-    boolean unregistered;
-    long pauseUntilNanos;
-    boolean paused;
-
-    /** When databases that claim to be the primary, but aren't recorded as such, were asked. */
-    final Map<String, Long> claimsCheckedNanos = new HashMap<>();
-  }
-
   /**
    * Creates a coordinator that does not hold the failover lease.
    *
@@ -179,6 +164,7 @@
               acquiring = false;
               lease = granted;
               fence = reply.revision();
+              leaseTakenNanos = now();
               context.listener().changed("duty_taken", context.holder(), "fence " + fence);
               scheduleRenewal();
               tick();
@@ -260,12 +246,16 @@
   }
 
   private void checkUnlessChanging(String group) {
-    GroupState state = groups.computeIfAbsent(group, key -> new GroupState());
+    GroupState state = groups.computeIfAbsent(group, key -> new GroupState(newCalls()));
     if (state.change == null && !(state.paused && now() - state.pauseUntilNanos < 0)) {
       checkGroup(group, state);
     }
   }
 
+  private PromotionCalls newCalls() {
+    return new PromotionCalls(context.clocks(), leaseTakenNanos);
+  }
+
   private long now() {
     return context.clocks().steadyNanos();
   }
@@ -467,7 +457,8 @@
 
   private void replace(
       PrimaryRecord record, GroupState state, String reason, boolean keepIfRecovered) {
-    if (lease == 0 || !holdsLease() || state.change != null) {
+    boolean current = groups.get(record.group()) == state;
+    if (lease == 0 || !holdsLease() || !current || state.change != null) {
       return;
     }
     state.failedProbes = 0;
@@ -479,6 +470,7 @@
             record,
             fence,
             keepIfRecovered,
+            state.calls,
             success -> {
               state.change = null;
               if (!success) {
--- a/core/src/main/java/org/pollenspar/core/process/PrimaryChange.java
+++ b/core/src/main/java/org/pollenspar/core/process/PrimaryChange.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -31,17 +32,18 @@
  * acknowledged writes.
  *
  * <p>A call to promote a database can't be taken back, and it may take effect after this host has
- * lost the failover lease. So the candidate is written before the call, under the fence: a host
- * that has lost the lease or the store makes no call, and the next holder promotes the same
- * database unless another one is ahead. A late call then changes nothing, as it names the primary.
+ * lost the failover lease or has made another call. Invariant: only the candidate of the stored
+ * record has such {@linkplain PromotionCalls unresolved calls}. So the candidate is written before
+ * the first call, under the fence, and the record of a leader keeps it while a call for the leader
+ * is unresolved. No other database is promoted or published until the calls can't take effect any
+ * more; a call for the same database changes nothing, as it names the primary.
  */
 final class PrimaryChange {
   private static final long CATCH_UP_MS = 1_500;
   private static final long POLL_MS = 100;
-  private static final long PROMOTION_TIMEOUT_MS = 5_000;
 
-  /** How long after it was sent a call to promote a database may still take effect. */
-  private static final long LATE_PROMOTION_MS = 3_000;
+  /** After this time a change that has promoted no database ends, and another one begins. */
+  private static final long LIMIT_MS = 20_000;
 
   private final ControlContext context;
   private final PrimaryRecord old;
@@ -50,17 +52,17 @@
   private final Consumer<Boolean> done;
   private final Map<String, DatabaseControl.DatabaseStatus> statuses = new HashMap<>();
   private final long startedNanos;
-  private long lateCallsUntilNanos;
+  private final PromotionCalls calls;
+  private final Set<String> eligible = new HashSet<>();
 
   /** Database that a call of this or of an interrupted change may promote; empty if none. */
   private String candidate;
 
   private @Nullable String promoted;
-  private long promotedNanos;
-  private int calls;
   private long intentRevision;
   private @Nullable PrimaryRevocation revocation;
-  private List<String> reportedWait = List.of();
+  private @Nullable DatabasePromotion promotion;
+  private String reportedWait = "";
   private boolean ended;
 
   /**
@@ -68,12 +70,14 @@
    *
    * @param keepIfRecovered whether the old primary stays if it answers again once all members have
    *     stopped using it; replacing it would needlessly lose what its replicas have not received
+   * @param calls promotion calls for the group since this host took the failover lease
    */
   PrimaryChange(
       ControlContext context,
       PrimaryRecord old,
       long fence,
       boolean keepIfRecovered,
+      PromotionCalls calls,
       Consumer<Boolean> done) {
     this.context = context;
     this.old = old;
@@ -82,16 +86,8 @@
     // An interrupted change may have promoted another database already.
     this.keepIfRecovered = keepIfRecovered && !old.changing();
     this.done = done;
+    this.calls = calls;
     this.startedNanos = context.clocks().steadyNanos();
-    this.lateCallsUntilNanos = startedNanos;
-    if (old.changing()) {
-      awaitLateCalls();
-    }
-  }
-
-  /** Delays choice and publication while an earlier promotion call may still take effect. */
-  private void awaitLateCalls() {
-    lateCallsUntilNanos = context.clocks().steadyNanos() + LATE_PROMOTION_MS * 1_000_000;
   }
 
   String group() {
@@ -108,6 +104,7 @@
         old.changingTo(candidate, fence),
         old.revision(),
         revision -> {
+          calls.changeBegins(old.candidate());
           if (ended) {
             return;
           }
@@ -206,12 +203,16 @@
       return;
     }
     List<DatabaseControl.Candidate> asked = new ArrayList<>();
+    eligible.clear();
     for (DatabaseControl.Candidate candidate : context.databases().candidates(group())) {
       boolean unresponsive =
           candidate.id().equals(old.database())
               && target == null
               && !old.database().equals(promoted);
       if (!unresponsive && (synchronous() || !candidate.draining())) {
+        eligible.add(candidate.id());
+      }
+      if (eligible.contains(candidate.id()) || candidate.id().equals(calls.unresolved())) {
         asked.add(candidate);
       }
     }
@@ -252,7 +253,7 @@
   }
 
   private boolean gaveUp() {
-    if (millisSince(startedNanos) > 4 * PROMOTION_TIMEOUT_MS) {
+    if (millisSince(startedNanos) > LIMIT_MS) {
       end(false, "no database of the group answered that can be promoted");
     }
     return ended;
@@ -278,11 +279,7 @@
   }
 
   private void choose(@Nullable Position target, long sinceNanos) {
-    if (context.clocks().steadyNanos() - lateCallsUntilNanos < 0) {
-      context.timers().after(POLL_MS, () -> collectStatuses(target, sinceNanos));
-      return;
-    }
-    if (publishNewPrimary()) {
+    if (publishNewPrimary(target, sinceNanos)) {
       return;
     }
     @Nullable String best = mostAdvancedReplacement();
@@ -293,7 +290,7 @@
     }
     if (behind && (best == null || synchronous())) {
       // Only the old primary has all acknowledged writes, and the others do not receive them.
-      best = statuses.containsKey(old.database()) ? old.database() : null;
+      best = canBeChosen(old.database()) ? old.database() : null;
     }
     if (best == null) {
       context.timers().after(POLL_MS, this::askOldPrimaryOrGiveUp);
@@ -301,26 +298,29 @@
     }
     List<String> awaited = awaitedReplicas(target);
     if (!awaited.isEmpty()) {
-      reportWait(awaited);
+      reportWait("no answer from " + awaited + ", which may hold acknowledged writes");
       context.timers().after(POLL_MS, this::askOldPrimary);
       return;
     }
-    log("promoting", best + ", old primary at " + target + ", answers " + new TreeMap<>(statuses));
-    callFor(best);
+    callFor(best, target, sinceNanos);
   }
 
-  private void reportWait(List<String> awaited) {
-    if (!awaited.equals(reportedWait)) {
-      reportedWait = awaited;
-      log("promotion_waits", "no answer from " + awaited + ", which may hold acknowledged writes");
+  private void reportWait(String reason) {
+    if (!reason.equals(reportedWait)) {
+      reportedWait = reason;
+      log("promotion_waits", reason);
     }
   }
 
+  private boolean canBeChosen(String database) {
+    return statuses.containsKey(database) && eligible.contains(database);
+  }
+
   private @Nullable String mostAdvancedReplacement() {
     @Nullable String best = null;
     for (String database : statuses.keySet()) {
-      boolean replaced = database.equals(old.database());
-      if (!replaced && (best == null || isPreferred(database, best))) {
+      boolean other = !database.equals(old.database()) && canBeChosen(database);
+      if (other && (best == null || isPreferred(database, best))) {
         best = database;
       }
     }
@@ -343,7 +343,7 @@
   }
 
   /** Publishes the database that leads the newest term, if one has replaced the old primary. */
-  private boolean publishNewPrimary() {
+  private boolean publishNewPrimary(@Nullable Position target, long sinceNanos) {
     @Nullable String leader = null;
     long term = -1;
     for (Map.Entry<String, DatabaseControl.DatabaseStatus> each : statuses.entrySet()) {
@@ -355,15 +355,13 @@
     if (leader == null) {
       return false;
     }
-    boolean calledForOther = !candidate.isEmpty() && !candidate.equals(leader);
-    if (!calledForOther) {
+    calls.leads(leader, term);
+    if (candidate.isEmpty() || candidate.equals(leader)) {
       publish(leader, term);
-    } else if (promoted != null && millisSince(promotedNanos) < LATE_PROMOTION_MS) {
-      context.timers().after(POLL_MS, () -> collectStatuses(null, promotedNanos));
     } else {
       // The candidate may be unreachable and lead a newer term. Promoting the leader makes its term
       // the newest, and has no effect if it already is.
-      callFor(leader);
+      callFor(leader, target, sinceNanos);
     }
     return true;
   }
@@ -379,8 +377,19 @@
     return first != null && second != null && first.received().compareTo(second.received()) > 0;
   }
 
-  /** Promotes a database, after it was written into the table as the candidate. */
-  private void callFor(String database) {
+  /**
+   * Promotes a database, after it was written into the table as the candidate. While an earlier
+   * call may still promote another one, asks the databases again instead.
+   */
+  private void callFor(String database, @Nullable Position target, long sinceNanos) {
+    if (calls.mayPromoteOtherThan(database)) {
+      reportWait("a call to promote " + calls.unresolved() + " may still take effect");
+      context.timers().after(POLL_MS, () -> collectOrGiveUp(target, sinceNanos));
+      return;
+    }
+    log(
+        "promoting",
+        database + ", old primary at " + target + ", answers " + new TreeMap<>(statuses));
     write(
         old.changingTo(database, fence),
         intentRevision,
@@ -395,66 +404,38 @@
     if (ended) {
       return;
     }
-    if (!context.failoverLeaseHeld().getAsBoolean()) {
-      end(false, "the failover lease may have expired");
-      return;
-    }
     promoted = database;
-    promotedNanos = context.clocks().steadyNanos();
-    long sentNanos = promotedNanos;
-    String call = database + ", call " + ++calls;
-    log("promotion_called", call);
-    context
-        .promotions()
-        .promote(
+    DatabaseControl.@Nullable DatabaseStatus status = statuses.get(database);
+    long ledTerm = status != null && status.primary() ? status.term() : 0;
+    promotion =
+        new DatabasePromotion(
+            context,
+            calls,
             group(),
             database,
-            context.holder(),
             fence,
-            outcome -> {
-              log(
-                  "promotion_answered",
-                  call + ": " + outcome + " after " + millisSince(sentNanos) + " ms");
-              switch (outcome) {
-                case ACCEPTED -> awaitPromotion(database, context.clocks().steadyNanos());
-                case NOT_RUNNING -> {
-                  awaitLateCalls();
-                  context.timers().after(POLL_MS, () -> collectOrGiveUp(null, startedNanos));
-                }
-                default -> {
-                  if (millisSince(startedNanos) > 4 * PROMOTION_TIMEOUT_MS) {
-                    end(false, "the platform did not accept the promotion in time");
-                  } else {
-                    context.timers().after(POLL_MS, () -> promote(database));
-                  }
-                }
-              }
-            });
+            startedNanos + LIMIT_MS * 1_000_000,
+            Math.max(old.term(), ledTerm),
+            each -> hasReplacedOldPrimary(database, each),
+            this::promotionEnded,
+            failure -> end(false, failure));
+    promotion.start();
   }
 
-  private void awaitPromotion(String database, long sinceNanos) {
-    if (ended) {
-      return;
+  private void promotionEnded(DatabasePromotion.Result result) {
+    long now = context.clocks().steadyNanos();
+    switch (result) {
+      // An earlier call may have promoted another database as well, so all are asked.
+      case LEADS -> collectStatuses(null, now);
+      case NOT_SEEN -> collectOrGiveUp(null, now);
+      default -> collectOrGiveUp(null, startedNanos);
     }
-    context
-        .databases()
-        .status(
-            group(),
-            database,
-            status -> {
-              if (status != null && hasReplacedOldPrimary(database, status)) {
-                // An earlier call may have promoted another database as well, so ask all of them.
-                collectStatuses(null, context.clocks().steadyNanos());
-              } else if (millisSince(sinceNanos) > PROMOTION_TIMEOUT_MS) {
-                collectOrGiveUp(null, context.clocks().steadyNanos());
-              } else {
-                context.timers().after(POLL_MS, () -> awaitPromotion(database, sinceNanos));
-              }
-            });
   }
 
   private void publish(String database, long term) {
-    PrimaryRecord leader = PrimaryRecord.leading(group(), database, term, fence, 0);
+    String mayBeCalled = calls.unresolved().equals(database) ? database : "";
+    PrimaryRecord leader =
+        PrimaryRecord.leading(group(), database, term, fence, 0).withCandidate(mayBeCalled);
     write(
         leader,
         intentRevision,
@@ -477,6 +458,9 @@
     if (revocation != null) {
       revocation.cancel();
     }
+    if (promotion != null) {
+      promotion.cancel();
+    }
     log(
         success ? "primary_changed" : "change_failed",
         detail + ", " + millisSince(startedNanos) + " ms");
--- a/core/src/main/java/org/pollenspar/core/process/PrimaryRecord.java
+++ b/core/src/main/java/org/pollenspar/core/process/PrimaryRecord.java
@@ -8,8 +8,8 @@
  * @param term its term
  * @param changing whether a change of the primary is in progress
  * @param fence fencing token of the failover lease under which the record was written
- * @param candidate while changing, the database that the platform may have been called to promote;
- *     empty if none
+ * @param candidate the only database that the platform may have been called to promote by a call
+ *     that can still take effect; empty if none. While no change is in progress, it is the primary
  * @param revision revision of the store at which it was written; orders records of a group
  */
 public record PrimaryRecord(
@@ -27,6 +27,11 @@
     return new PrimaryRecord(group, database, term, false, fence, "", revision);
   }
 
+  /** Returns this record with a candidate. */
+  PrimaryRecord withCandidate(String newCandidate) {
+    return new PrimaryRecord(group, database, term, changing, fence, newCandidate, revision);
+  }
+
   /** Returns the record of a change of this primary that calls for a candidate. */
   PrimaryRecord changingTo(String newCandidate, long newFence) {
     return new PrimaryRecord(group, database, term, true, newFence, newCandidate, 0);
--- a/core/src/main/java/org/pollenspar/core/process/PromotionService.java
+++ b/core/src/main/java/org/pollenspar/core/process/PromotionService.java
@@ -10,8 +10,10 @@
     ACCEPTED,
     /** The database isn't running. */
     NOT_RUNNING,
-    /** The call was refused or got no answer. */
-    RETRY
+    /** The call was refused or could not be sent; it never takes effect. */
+    NOT_EXECUTED,
+    /** The call got no answer; it may take effect later. */
+    UNKNOWN
   }
 
   /**
--- a/core/src/test/java/org/pollenspar/core/process/FailoverCoordinatorTest.java
+++ b/core/src/test/java/org/pollenspar/core/process/FailoverCoordinatorTest.java
@@ -120,7 +120,8 @@
             table,
             databases,
             messages,
-            (group, database, holder, fence, done) -> done.accept(PromotionService.Outcome.RETRY),
+            (group, database, holder, fence, done) ->
+                done.accept(PromotionService.Outcome.NOT_EXECUTED),
             time,
             time,
             (event, subject, detail) -> events.add(event + " " + detail),
--- a/core/src/test/java/org/pollenspar/core/process/FleetFaults.java
+++ b/core/src/test/java/org/pollenspar/core/process/FleetFaults.java
@@ -130,8 +130,12 @@
 
   /**
    * Stops a host for the rest of the history and starts a new one without state under another name.
+   * The last running host stays.
    */
   private void replace(FleetModel.ModelHost host, int length) {
+    if (model.hosts.size() == 1) {
+      return;
+    }
     host.freeze(FleetModel.HISTORY_MS, false);
     model.hosts.remove(host);
     model.time.after(length, model::startHost);
--- a/core/src/test/java/org/pollenspar/core/process/FleetModel.java
+++ b/core/src/test/java/org/pollenspar/core/process/FleetModel.java
@@ -41,6 +41,7 @@
   final boolean synchronous;
   final FakeTime time = new FakeTime();
   final ModelStore store;
+  final FleetModelPromotions promotionCalls;
   final List<ModelHost> hosts = new ArrayList<>();
   final Map<String, FleetModelDatabase> databases = new TreeMap<>();
   long reportedCommits;
@@ -66,15 +67,14 @@
     this.membershipFaults = membershipFaults;
     this.minRenewingMembers = sharedRenewal ? 2 : Integer.MAX_VALUE;
     this.store = new ModelStore(time, random);
+    this.promotionCalls = new FleetModelPromotions(this, random);
     for (int i = 0; i < 3; i++) {
       databases.put("db" + i, new FleetModelDatabase(this, "db" + i, i == 0));
     }
   }
 
   void play() {
-    for (int i = 0; i < HOSTS; i++) {
-      startHost();
-    }
+    startHosts();
     if (synchronous) {
       replicate();
     }
@@ -82,6 +82,12 @@
     time.advance(HISTORY_MS);
   }
 
+  void startHosts() {
+    for (int i = 0; i < HOSTS; i++) {
+      startHost();
+    }
+  }
+
   private void replicate() {
     databases.get(newestPrimary).sendLog();
     time.after(REPLICATION_MS, this::replicate);
@@ -107,7 +113,7 @@
     private final FleetTable table;
     private final SharedRenewal renewal;
     private final ConfirmationRenewer renewer;
-    private final FailoverCoordinator coordinator;
+    final FailoverCoordinator coordinator;
     private final CoordinationStore connection;
     private final List<Runnable> deferredTasks = new ArrayList<>();
     private long frozenUntil;
@@ -146,7 +152,8 @@
               table,
               control,
               this,
-              this::promote,
+              (group, database, holder, fence, done) ->
+                  promotionCalls.promote(this, database, done),
               this,
               this,
               this::addToTrace,
@@ -350,28 +357,6 @@
           });
     }
 
-    private void promote(
-        String group,
-        String database,
-        String holder,
-        long fence,
-        Consumer<PromotionService.Outcome> done) {
-      int delayMillis = random.nextInt(10) == 0 ? random.nextInt(2_000) : delay();
-      time.after(
-          delayMillis,
-          () -> {
-            FleetModelDatabase target = databases.get(database);
-            boolean up = target.up();
-            if (up) {
-              target.promote();
-            }
-            PromotionService.Outcome outcome =
-                up ? PromotionService.Outcome.ACCEPTED : PromotionService.Outcome.NOT_RUNNING;
-            boolean lost = random.nextInt(10) == 0;
-            deliver(() -> done.accept(lost ? PromotionService.Outcome.RETRY : outcome));
-          });
-    }
-
     private @Nullable ModelHost host(Member member) {
       return hosts.stream()
           .filter(each -> each.name.equals(member.name()))
--- a/core/src/test/java/org/pollenspar/core/process/FleetModelProperties.java
+++ b/core/src/test/java/org/pollenspar/core/process/FleetModelProperties.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.pollenspar.core.process.FleetModel.InjectedDefect;
 
 /**
@@ -49,6 +50,15 @@
             membershipFaults,
             sharedRenewal,
             synchronous);
+    return checked(model, seed, membershipFaults, sharedRenewal, synchronous);
+  }
+
+  private static FleetModel checked(
+      FleetModel model,
+      long seed,
+      FleetFaults.MembershipFaults membershipFaults,
+      boolean sharedRenewal,
+      boolean synchronous) {
     model.play();
     assertEquals(
         List.of(),
@@ -124,6 +134,38 @@
     }
   }
 
+  /** Guards against promotion calls without an answer that are executed up to 9 s late. */
+  @Nested
+  class LostAndLatePromotionCalls {
+
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void keepOnePrimary(boolean synchronous) {
+      long commits = 0;
+      long promotions = 0;
+      for (int i = 0; i < HISTORIES; i++) {
+        long seed = SEED + i;
+        FleetFaults.MembershipFaults membershipFaults = FleetFaults.MembershipFaults.of(i);
+        FleetModel model =
+            new FleetModel(
+                new SplittableRandom(seed),
+                InjectedDefect.NONE,
+                membershipFaults,
+                false,
+                synchronous);
+        model.promotionCalls.deliveries =
+            FleetModelPromotions.lostAndLate(new SplittableRandom(~seed));
+        checked(model, seed, membershipFaults, false, synchronous);
+        commits += model.commits;
+        promotions += model.promotions;
+      }
+      System.out.println(
+          HISTORIES + " histories, " + commits + " commits, " + promotions + " promotions");
+      assertTrue(promotions > HISTORIES, "too few promotions in the histories: " + promotions);
+      assertTrue(commits > 30L * HISTORIES, "too few commits in the histories: " + commits);
+    }
+  }
+
   @Nested
   class InjectedDefects {
 
--- a/core/src/test/java/org/pollenspar/core/process/PrimaryChangeScenario.java
+++ b/core/src/test/java/org/pollenspar/core/process/PrimaryChangeScenario.java
@@ -185,6 +185,7 @@
             old,
             failoverLeaseRevision,
             keepIfRecovered,
+            new PromotionCalls(time, time.steadyNanos()),
             success -> steps.add("done " + success))
         .start("test");
   }
--- a/core/src/test/java/org/pollenspar/core/process/PrimaryChoiceTest.java
+++ b/core/src/test/java/org/pollenspar/core/process/PrimaryChoiceTest.java
@@ -27,8 +27,11 @@
   void candidateOfAnInterruptedChangeThatIsBehindIsNotPromoted() {
     old = new PrimaryRecord(GROUP, "p", 1, true, 1, "r2", old.revision());
     change();
-    time.advance(6_000);
+    time.advance(PromotionCalls.LATE_CALL_MS - 100);
+    assertTrue(steps.stream().noneMatch(step -> step.startsWith("promote ")), steps.toString());
+    time.advance(1_000);
     assertTrue(steps.contains("promote r1"), steps.toString());
+    assertTrue(steps.stream().noneMatch("promote r2"::equals), steps.toString());
   }
 
   @Test
