--- a/core/src/test/java/org/pollenspar/core/process/LatePromotionTest.java
+++ b/core/src/test/java/org/pollenspar/core/process/LatePromotionTest.java
@@ -96,7 +96,7 @@
   }
 
   private void stopHolder() {
-    String holder = events("promotion_called").findFirst().orElseThrow().split(" ")[1];
+    String holder = events("promotion_called").findFirst().orElseThrow().split(" ", 3)[1];
     model.hosts.stream()
         .filter(host -> host.name.equals(holder))
         .forEach(host -> host.coordinator.stop());
