--- a/core/src/main/java/org/pollenspar/core/process/ControlKeys.java
+++ b/core/src/main/java/org/pollenspar/core/process/ControlKeys.java
@@ -7,6 +7,11 @@
 /**
  * Keys and values of the table that the fleet shares in the platform's store. The values are JSON
  * objects, except for the holder of the failover lease, which is plain text.
+ *
+ * <p>Invariant: the key of the shared lease sorts before those of members and primaries. A read of
+ * several pages is no snapshot, but its pages are read in the order of the keys. So each record is
+ * read after the shared lease, and a host that has read a shared lease has also read every change
+ * and suspension that came before it.
  */
 public final class ControlKeys {
   /** Prefix of all keys of pollenspar. */
