core: renewals after a change began don't prolong the time for writes under way

A host that has not acknowledged a revocation reports the success of writes that it had sent before, while its confirmation holds. But it may read the change late and then renew its confirmation, which shows only that it knows the change. The host that replaces the primary, if it gets no answer, waits until the earlier confirmation has expired. A write that was answered later was reported although another database could have been promoted. Such writes now count only until the confirmation expires that the host had when it learned of the change.

On the code before the fix, assertFalse of mayAcknowledgeWrite fails in PrimaryAuthorityTest.renewalsAfterARevocationDoNotProlongTheTimeForWritesUnderWay

--- a/core/src/main/java/org/pollenspar/core/process/Confirmation.java
+++ b/core/src/main/java/org/pollenspar/core/process/Confirmation.java
@@ -1,5 +1,6 @@
 package org.pollenspar.core.process;
 
+import java.util.function.BooleanSupplier;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -70,6 +71,12 @@
     return ageMillis() < VALID_MS;
   }
 
+  /** Returns a check whether the present confirmation still is valid, whatever renewals follow. */
+  BooleanSupplier withoutRenewals() {
+    @Nullable ClockReading sent = confirmedAt;
+    return () -> sent != null && sent.ageMillis(clocks) < VALID_MS;
+  }
+
   /** Returns the age in milliseconds; {@link Long#MAX_VALUE} without a confirmation. */
   public long ageMillis() {
     @Nullable ClockReading sent = confirmedAt;
--- a/core/src/main/java/org/pollenspar/core/process/PrimaryAuthority.java
+++ b/core/src/main/java/org/pollenspar/core/process/PrimaryAuthority.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
@@ -24,7 +25,15 @@
   private final Map<String, PrimaryRecord> records = new HashMap<>();
   private final Map<String, Integer> writesInProgress = new HashMap<>();
   private final Map<String, List<Runnable>> writesFinishedTasks = new HashMap<>();
-  private final Set<String> unacknowledgedRevocations = new HashSet<>();
+
+  /**
+   * Groups with a revocation that this host has not acknowledged, and whether the confirmation that
+   * it had when it learned of the change still is valid. The host that replaces the primary waits
+   * no longer than that for an acknowledgement; later renewals show that this host knows the
+   * change, not that the primary may be used.
+   */
+  private final Map<String, BooleanSupplier> unacknowledgedRevocations = new HashMap<>();
+
   private final Set<String> suspendedGroups = new HashSet<>();
   private final List<Consumer<String>> recordListeners = new ArrayList<>();
   private long newestIntentRevision;
@@ -56,7 +65,7 @@
     if (!record.changing()) {
       unacknowledgedRevocations.remove(record.group());
     } else if (known != null && !known.changing()) {
-      unacknowledgedRevocations.add(record.group());
+      unacknowledgedRevocations.put(record.group(), confirmation.withoutRenewals());
     }
     if (changes) {
       recordListeners.forEach(listener -> listener.accept(record.group()));
@@ -73,7 +82,7 @@
     @Nullable PrimaryRecord known = records.get(group);
     if (known != null && known.revision() < revision) {
       if (!known.changing()) {
-        unacknowledgedRevocations.add(group);
+        unacknowledgedRevocations.put(group, confirmation.withoutRenewals());
       }
       records.put(group, known.revokedAt(revision));
       recordListeners.forEach(listener -> listener.accept(group));
@@ -129,7 +138,12 @@
         && !suspendedGroups.contains(group)
         && record.term() == term
         && record.database().equals(database)
-        && (!record.changing() || unacknowledgedRevocations.contains(group));
+        && (!record.changing() || awaitedByTheChange(group));
+  }
+
+  private boolean awaitedByTheChange(String group) {
+    @Nullable BooleanSupplier confirmed = unacknowledgedRevocations.get(group);
+    return confirmed != null && confirmed.getAsBoolean();
   }
 
   /** Must be called when this host acknowledges the revocation of a group's primary. */
