--- a/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
@@ -58,12 +58,6 @@
    */
   private static final long JOINING_MS = 3_500;
 
-  /**
-   * Longest wait for writes under way before this host acknowledges a revocation. The success of a
-   * write that ends later is not acknowledged to its caller.
-   */
-  private static final long REVOCATION_TIMEOUT_MS = 400;
-
   /**
    * Members of a failure domain from which on one of them renews the shared lease for all. With
    * fewer, the calls that it saves are few, and each host stands alone.
@@ -114,6 +108,7 @@
   private final ConfirmationRenewer confirmationRenewer;
   private final NodeDatabaseControl databaseControl;
   private final PrimaryClaims primaryClaims;
+  private final RevocationResponder revocations;
   private final FailoverCoordinator failoverCoordinator;
   private final DatabaseDirectory directory;
   private final SlotBrokers brokers;
@@ -161,6 +156,13 @@
             dependencies.statusDecoder());
     this.primaryClaims =
         new PrimaryClaims(authority, databaseControl, dependencies.timers(), dependencies.log());
+    this.revocations =
+        new RevocationResponder(
+            authority,
+            confirmation,
+            dependencies.clocks(),
+            dependencies.timers(),
+            dependencies.log());
     int takeoverJitter = Math.floorMod(dependencies.self().name().hashCode(), TAKEOVER_JITTER_MS);
     this.failoverCoordinator =
         new FailoverCoordinator(
@@ -408,42 +410,9 @@
     sessions.remove(session);
   }
 
-  /**
-   * Stops using a group's primary because another host replaces it. Acknowledges this as soon as no
-   * write to the group is under way, at the latest after {@link #REVOCATION_TIMEOUT_MS}.
-   */
+  /** Stops using a group's primary because another host replaces it. */
   public void revoke(String group, long revision, Consumer<Boolean> done) {
-    authority.revoke(group, revision);
-    long receivedNanos = dependencies.clocks().steadyNanos();
-    boolean[] acknowledged = {false};
-    Runnable acknowledge =
-        () -> {
-          if (!acknowledged[0]) {
-            acknowledged[0] = true;
-            authority.revocationAcknowledged(group);
-            done.accept(true);
-            long waited = (dependencies.clocks().steadyNanos() - receivedNanos) / 1_000_000;
-            logAcknowledgement(group, revision, waited);
-          }
-        };
-    authority.whenWritesFinished(group, acknowledge);
-    dependencies.timers().after(REVOCATION_TIMEOUT_MS, acknowledge);
-  }
-
-  private void logAcknowledgement(String group, long revision, long waitedMillis) {
-    dependencies
-        .log()
-        .changed(
-            "revocation_acknowledged",
-            group,
-            "revision %d, after %d ms, %d writes in progress, confirmation %s"
-                .formatted(
-                    revision,
-                    waitedMillis,
-                    authority.writesInProgress(group),
-                    confirmation.ageMillis() == Long.MAX_VALUE
-                        ? "missing"
-                        : confirmation.ageMillis() + " ms old"));
+    revocations.revoke(group, revision, done);
   }
 
   /** Renews the shared lease for another member; see {@link FleetMessages#renew}. */
