core, platform: a promotion call is sent only if the failover lease still holds once its connection is open

The lease was checked before the call, but the first call of a holder opens a connection, which takes up to 800 ms. A host that was frozen in between sent its call after it had thawed, when the next holder could have replaced the primary.

--- a/core/src/main/java/org/pollenspar/core/process/DatabasePromotion.java
+++ b/core/src/main/java/org/pollenspar/core/process/DatabasePromotion.java
@@ -86,6 +86,7 @@
             database,
             context.holder(),
             fence,
+            context.failoverLeaseHeld(),
             outcome -> {
               long millis = millisSince(sentNanos);
               log(
--- a/core/src/main/java/org/pollenspar/core/process/PromotionService.java
+++ b/core/src/main/java/org/pollenspar/core/process/PromotionService.java
@@ -1,5 +1,6 @@
 package org.pollenspar.core.process;
 
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /** The platform's call that makes a replica the primary. */
@@ -21,6 +22,14 @@
    *
    * @param holder name of the host that holds the failover lease
    * @param fence fencing token of the failover lease
+   * @param allowed whether the call may still be made; asked right before it is sent, since opening
+   *     a connection takes time in which the host may lose the failover lease
    */
-  void promote(String group, String database, String holder, long fence, Consumer<Outcome> done);
+  void promote(
+      String group,
+      String database,
+      String holder,
+      long fence,
+      BooleanSupplier allowed,
+      Consumer<Outcome> done);
 }
--- a/core/src/test/java/org/pollenspar/core/process/FailoverCoordinatorTest.java
+++ b/core/src/test/java/org/pollenspar/core/process/FailoverCoordinatorTest.java
@@ -120,7 +120,7 @@
             table,
             databases,
             messages,
-            (group, database, holder, fence, done) ->
+            (group, database, holder, fence, allowed, done) ->
                 done.accept(PromotionService.Outcome.NOT_EXECUTED),
             time,
             time,
--- a/core/src/test/java/org/pollenspar/core/process/FleetModel.java
+++ b/core/src/test/java/org/pollenspar/core/process/FleetModel.java
@@ -152,7 +152,7 @@
               table,
               control,
               this,
-              (group, database, holder, fence, done) ->
+              (group, database, holder, fence, allowed, done) ->
                   promotionCalls.promote(this, database, done),
               this,
               this,
--- a/core/src/test/java/org/pollenspar/core/process/PrimaryChangeScenario.java
+++ b/core/src/test/java/org/pollenspar/core/process/PrimaryChangeScenario.java
@@ -172,7 +172,7 @@
             table,
             databases,
             new Members(),
-            (group, database, holder, fence, done) -> {
+            (group, database, holder, fence, allowed, done) -> {
               steps.add("promote " + database);
               recordAtCall = storedRecord();
               time.after(promotionMillis, () -> databases.lead(database, promotedTerm));
--- a/core/src/test/java/org/pollenspar/core/process/ReplicaSetRecorderTest.java
+++ b/core/src/test/java/org/pollenspar/core/process/ReplicaSetRecorderTest.java
@@ -75,7 +75,7 @@
         table,
         databases,
         new NoMembers(),
-        (group, database, holder, token, done) -> {},
+        (group, database, holder, token, allowed, done) -> {},
         time,
         time,
         (event, subject, detail) -> {},
