core: an interrupted change's candidate that led before is published only in a newer term

What callers would see: writes at a primary after another database had been promoted to a newer term, on all hosts, until that database is back. Cause: a change that calls for a database which already leads an older term ends before the call has taken effect, or before it is sent; the next change finds the candidate leading and publishes it without a call.

The record of a change keeps the term that its candidate led before the call. Only a newer one, or the end of an accepted call of the same change, shows that the promotion has taken effect. A draining database that registers as the primary is asked too, since it may lead the newest term.

PrimaryChoiceTest with the two conditions taken out: candidateThatLedBeforeIsPublishedOnlyInANewerTerm: expected: <true> but was: <false> (no call); drainingDatabaseThatLeadsTheNewestTermIsSeen: expected: <3> but was: <2>.

--- a/core/src/main/java/org/pollenspar/core/process/ControlKeys.java
+++ b/core/src/main/java/org/pollenspar/core/process/ControlKeys.java
@@ -107,6 +107,9 @@
     if (!record.candidate().isEmpty()) {
       node.put("candidate", record.candidate());
     }
+    if (record.candidateTerm() != PrimaryRecord.NO_TERM) {
+      node.put("candidate_term", record.candidateTerm());
+    }
     return node.toString();
   }
 
@@ -121,6 +124,7 @@
           record.flag("changing"),
           record.number("fence", 0, Long.MAX_VALUE),
           record.has("candidate") ? record.text("candidate") : "",
+          record.number("candidate_term", 0, Long.MAX_VALUE, PrimaryRecord.NO_TERM),
           revision);
     } catch (StoredValue.InvalidException e) {
       return null;
--- a/core/src/main/java/org/pollenspar/core/process/DatabasePromotion.java
+++ b/core/src/main/java/org/pollenspar/core/process/DatabasePromotion.java
@@ -17,6 +17,9 @@
   /** How long the database is asked after a call without an answer, before the next call. */
   private static final long UNANSWERED_CALL_MS = 1_500;
 
+  /** Pause before another call, since the platform refuses calls beyond a rate. */
+  private static final long NOT_RUNNING_PAUSE_MS = 500;
+
   /** How a promotion ended that did not fail. */
   enum Result {
     /** The database leads in place of the old primary. */
@@ -110,7 +113,7 @@
       }
       case NOT_RUNNING -> {
         calls.notExecuted();
-        context.timers().after(POLL_MS, () -> end(Result.NOT_RUNNING));
+        context.timers().after(NOT_RUNNING_PAUSE_MS, () -> end(Result.NOT_RUNNING));
       }
       case NOT_EXECUTED -> {
         calls.notExecuted();
--- a/core/src/main/java/org/pollenspar/core/process/FailoverCoordinator.java
+++ b/core/src/main/java/org/pollenspar/core/process/FailoverCoordinator.java
@@ -395,6 +395,12 @@
                     state,
                     "it reports that it is a replica in term " + status.term(),
                     false);
+              } else if (status.term() > record.term()) {
+                replace(
+                    record,
+                    state,
+                    "it leads the newer term " + status.term() + ", which is to be published",
+                    false);
               } else {
                 state.failedProbes = 0;
               }
--- a/core/src/main/java/org/pollenspar/core/process/PrimaryChange.java
+++ b/core/src/main/java/org/pollenspar/core/process/PrimaryChange.java
@@ -58,6 +58,12 @@
   /** Database that a call of this or of an interrupted change may promote; empty if none. */
   private String candidate;
 
+  /** Term that the candidate led before it was called. */
+  private long candidateTerm;
+
+  /** Database for which a call of this change was accepted and can't take effect any more. */
+  private String calledFor = "";
+
   private @Nullable String promoted;
   private long intentRevision;
   private @Nullable PrimaryRevocation revocation;
@@ -82,6 +88,7 @@
     this.context = context;
     this.old = old;
     this.candidate = old.candidate();
+    this.candidateTerm = old.candidateTerm();
     this.fence = fence;
     // An interrupted change may have promoted another database already.
     this.keepIfRecovered = keepIfRecovered && !old.changing();
@@ -101,7 +108,7 @@
   void start(String reason) {
     log("change_started", "primary " + old.database() + ": " + reason);
     write(
-        old.changingTo(candidate, fence),
+        old.changingTo(candidate, candidateTerm, fence),
         old.revision(),
         revision -> {
           calls.changeBegins(old.candidate());
@@ -212,7 +219,10 @@
       if (!unresponsive && (synchronous() || !candidate.draining())) {
         eligible.add(candidate.id());
       }
-      if (eligible.contains(candidate.id()) || candidate.id().equals(calls.unresolved())) {
+      boolean mayLead =
+          candidate.id().equals(calls.unresolved())
+              || (candidate.claimsPrimary() && !candidate.id().equals(old.database()));
+      if (eligible.contains(candidate.id()) || mayLead) {
         asked.add(candidate);
       }
     }
@@ -356,11 +366,12 @@
       return false;
     }
     calls.leads(leader, term);
-    if (candidate.isEmpty() || candidate.equals(leader)) {
+    boolean calledBefore = term > candidateTerm || leader.equals(calledFor);
+    if (candidate.isEmpty() || (candidate.equals(leader) && calledBefore)) {
       publish(leader, term);
     } else {
-      // The candidate may be unreachable and lead a newer term. Promoting the leader makes its term
-      // the newest, and has no effect if it already is.
+      // Another database may be unreachable and lead a newer term. Promoting the leader makes its
+      // term the newest, and has no effect if it already is.
       callFor(leader, target, sinceNanos);
     }
     return true;
@@ -390,12 +401,15 @@
     log(
         "promoting",
         database + ", old primary at " + target + ", answers " + new TreeMap<>(statuses));
+    DatabaseControl.@Nullable DatabaseStatus status = statuses.get(database);
+    long ledTerm = status != null && status.primary() ? status.term() : PrimaryRecord.NO_TERM;
     write(
-        old.changingTo(database, fence),
+        old.changingTo(database, ledTerm, fence),
         intentRevision,
         revision -> {
           intentRevision = revision;
           candidate = database;
+          candidateTerm = ledTerm;
           promote(database);
         });
   }
@@ -405,8 +419,7 @@
       return;
     }
     promoted = database;
-    DatabaseControl.@Nullable DatabaseStatus status = statuses.get(database);
-    long ledTerm = status != null && status.primary() ? status.term() : -1;
+    long ledTerm = candidateTerm;
     promotion =
         new DatabasePromotion(
             context,
@@ -423,6 +436,7 @@
   }
 
   private void promotionEnded(DatabasePromotion.Result result) {
+    calledFor = result == DatabasePromotion.Result.NOT_RUNNING ? "" : candidate;
     long now = context.clocks().steadyNanos();
     switch (result) {
       // An earlier call may have promoted another database as well, so all are asked.
--- a/core/src/test/java/org/pollenspar/core/process/ConfirmationRenewerTest.java
+++ b/core/src/test/java/org/pollenspar/core/process/ConfirmationRenewerTest.java
@@ -232,7 +232,7 @@
 
   private static String leading(String database, boolean changing) {
     PrimaryRecord record = PrimaryRecord.leading("ledger", database, 3, 1, 0);
-    return ControlKeys.encode(changing ? record.changingTo("", 1) : record);
+    return ControlKeys.encode(changing ? record.changingTo("", PrimaryRecord.NO_TERM, 1) : record);
   }
 
   @Test
--- a/core/src/test/java/org/pollenspar/core/process/PrimaryChangeScenario.java
+++ b/core/src/test/java/org/pollenspar/core/process/PrimaryChangeScenario.java
@@ -36,6 +36,7 @@
   final class Databases implements DatabaseControl {
     final Map<String, DatabaseStatus> answers = new TreeMap<>();
     final List<String> draining = new ArrayList<>();
+    final List<String> claiming = new ArrayList<>(List.of("p"));
     final Map<String, String> registered =
         new TreeMap<>(Map.of("p", "10.0.0.1:1", "r1", "10.0.0.2:1", "r2", "10.0.0.3:1"));
     final Map<String, String> lapsed = new TreeMap<>();
@@ -68,7 +69,8 @@
       List<Candidate> candidates = new ArrayList<>();
       addresses.forEach(
           (id, address) ->
-              candidates.add(new Candidate(id, address, draining.contains(id), id.equals("p"), 0)));
+              candidates.add(
+                  new Candidate(id, address, draining.contains(id), claiming.contains(id), 0)));
       return candidates;
     }
 
--- a/core/src/test/java/org/pollenspar/core/process/PrimaryChoiceTest.java
+++ b/core/src/test/java/org/pollenspar/core/process/PrimaryChoiceTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.pollenspar.core.connection.Position;
 
@@ -55,6 +56,42 @@
     assertEquals(term, published.term());
   }
 
+  /**
+   * The interrupted change may not have called for it, and a crashed database may lead a newer
+   * term.
+   */
+  @ParameterizedTest
+  @CsvSource({"2, true", "4, false"})
+  void candidateThatLedBeforeIsPublishedOnlyInANewerTerm(long term, boolean called) {
+    databases.answers.remove("r2");
+    databases.lapse("r2");
+    databases.lead("r1", term);
+    old = new PrimaryRecord(GROUP, "p", 1, true, 1, "r1", 2, old.revision());
+    promotionMillis = 300;
+    promotedTerm = 4;
+    change();
+    time.advance(3_000);
+    assertEquals(called, steps.contains("promote r1"), steps.toString());
+    PrimaryRecord published = storedRecord();
+    assertNotNull(published);
+    assertFalse(published.changing(), steps.toString());
+    assertEquals(4, published.term());
+  }
+
+  @Test
+  void drainingDatabaseThatLeadsTheNewestTermIsSeen() {
+    databases.draining.add("r2");
+    databases.claiming.add("r2");
+    databases.lead("r2", 3);
+    databases.lead("r1", 2);
+    old = new PrimaryRecord(GROUP, "p", 1, true, 1, "", old.revision());
+    change();
+    time.advance(3_000);
+    PrimaryRecord published = storedRecord();
+    assertNotNull(published);
+    assertEquals(3, published.term(), steps.toString());
+  }
+
   @Test
   void leavingReplicaIsNotChosen() {
     databases.draining.add("r1");
