core: a pool gives out no connection that the database has closed

Callers got INDOUBT, which they may not repeat, for the first write on each idle connection after a database had restarted, although nothing was sent: the pool learned of the end only from the LOST answer to the next command.

PhysicalConnection tells whether it is open, and the pool drops those that aren't before it grants one. writeUsesNoConnectionThatTheDatabaseHasClosed failed before (IN_DOUBT instead of OK).

--- a/core/src/main/java/org/pollenspar/core/connection/PhysicalConnection.java
+++ b/core/src/main/java/org/pollenspar/core/connection/PhysicalConnection.java
@@ -13,6 +13,9 @@
    */
   void run(DatabaseCommand command, Consumer<Answer> done);
 
+  /** Returns whether the connection is open, as far as this host knows. */
+  boolean usable();
+
   /** Closes the connection; the database rolls back a transaction that is open on it. */
   void close();
 
--- a/core/src/main/java/org/pollenspar/core/connection/PooledDatabaseConnection.java
+++ b/core/src/main/java/org/pollenspar/core/connection/PooledDatabaseConnection.java
@@ -43,7 +43,7 @@
 
   /** Returns whether the connection is closed, here or by the database. */
   public boolean lost() {
-    return lost;
+    return lost || !connection.usable();
   }
 
   long lastUsedNanos() {
--- a/core/src/test/java/org/pollenspar/core/connection/ManyHostsTest.java
+++ b/core/src/test/java/org/pollenspar/core/connection/ManyHostsTest.java
@@ -118,6 +118,11 @@
                     new Answer(AnswerCode.OK, List.of("row"), "s", TransactionState.IDLE, null)));
       }
 
+      @Override
+      public boolean usable() {
+        return !closed;
+      }
+
       @Override
       public void close() {
         if (!closed) {
--- a/core/src/test/java/org/pollenspar/core/connection/ScriptedDatabases.java
+++ b/core/src/test/java/org/pollenspar/core/connection/ScriptedDatabases.java
@@ -135,6 +135,11 @@
           && forward.statement() instanceof SessionStatement.Commit;
     }
 
+    @Override
+    public boolean usable() {
+      return !closed;
+    }
+
     @Override
     public void close() {
       closed = true;
--- a/core/src/test/java/org/pollenspar/core/connection/SharedDatabase.java
+++ b/core/src/test/java/org/pollenspar/core/connection/SharedDatabase.java
@@ -267,6 +267,11 @@
       }
     }
 
+    @Override
+    public boolean usable() {
+      return true;
+    }
+
     @Override
     public void close() {}
   }
