core: a malformed statement fails its transaction

A caller that doesn't wait for answers could have one statement refused as MALFORMED and the rest committed: the transaction stayed open.

The transaction is rolled back at once; its COMMIT is answered ABORTED and not sent. malformedStatementFailsItsTransaction failed before (OPEN, not FAILED).

--- a/core/src/main/java/org/pollenspar/core/connection/CallerSession.java
+++ b/core/src/main/java/org/pollenspar/core/connection/CallerSession.java
@@ -145,6 +145,10 @@
   private void start(SessionRequest request) {
     SessionStatement statement = request.statement();
     if (statement instanceof SessionStatement.Invalid invalid) {
+      if (transaction != null && !transaction.failed()) {
+        // A caller that doesn't wait for answers may have sent the commit already.
+        transaction.rollback();
+      }
       refuse(request, AnswerCode.MALFORMED, invalid.reason());
     } else if (refusing && !(statement instanceof SessionStatement.Rollback)) {
       refuseUnstarted(request);
