--- a/edge/src/main/java/org/pollenspar/edge/process/EventLog.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/EventLog.java
@@ -130,6 +130,9 @@
 
   /** One line under construction. */
   public static final class Line {
+    private static final char LINE_SEPARATOR = 0x2028;
+    private static final char PARAGRAPH_SEPARATOR = 0x2029;
+
     private final StringBuilder text = new StringBuilder(160);
 
     Line(long wallMillis, String host, String event) {
@@ -138,14 +141,17 @@
       text("event", event);
     }
 
-    /** Adds a text field; control characters in its value become blanks. */
+    /**
+     * Adds a text field; control characters and line separators in its value become blanks, as some
+     * readers of lines take even those beyond ASCII for the end of one.
+     */
     public Line text(String name, String value) {
       text.append(",\"").append(name).append("\":\"");
       for (int i = 0; i < value.length(); i++) {
         char c = value.charAt(i);
         if (c == '"' || c == '\\') {
           text.append('\\').append(c);
-        } else if (c < ' ') {
+        } else if (Character.isISOControl(c) || c == LINE_SEPARATOR || c == PARAGRAPH_SEPARATOR) {
           text.append(' ');
         } else {
           text.append(c);
