core: a commit of unknown position is not taken for no commit

Cause: a session kept the position of its last commit, and an acknowledgement without one changed nothing. "No position known" and "no commit" were one state.

SessionCommits keeps both. After a commit of unknown position, reads run at the primary, over the route's kind, so home hosts of any version do the same, until an answer to such a read states a position. It covers the commit, since the read was sent after the acknowledgement. The same cause on related paths: a commit's answer that states a position which was known before it was sent, or one of an earlier term, counts as unknown; a sample before the last one is ignored.

--- a/core/src/main/java/org/pollenspar/core/connection/CallerSession.java
+++ b/core/src/main/java/org/pollenspar/core/connection/CallerSession.java
@@ -1,8 +1,6 @@
 package org.pollenspar.core.connection;
 
 import java.util.ArrayDeque;
-import java.util.HashMap;
-import java.util.Map;
 import org.jspecify.annotations.Nullable;
 import org.pollenspar.core.request.Answer;
 import org.pollenspar.core.request.AnswerCode;
@@ -24,10 +22,8 @@
  * <p>Whether a statement runs over connections of this host or at a home host is decided by the
  * {@link StatementExecutor} of its group.
  *
- * <p>The session keeps the position of its last commit in the log of each group, so that later
- * reads on a route with {@link RouteKind#READ_YOUR_WRITES} include it. A route may move to another
- * group during the session, and positions in the logs of two groups can't be compared. All methods
- * run on one thread.
+ * <p>The session remembers its commits ({@link SessionCommits}), so that later reads on a route
+ * with {@link RouteKind#READ_YOUR_WRITES} include them. All methods run on one thread.
  */
 public final class CallerSession {
   /** Number of statements that may wait behind the one that runs. */
@@ -46,9 +42,7 @@
 
   private StatementExecutor.@Nullable StatementExecution singleStatement;
 
-  /** Position of the last commit by group. */
-  private final Map<String, Position> lastCommits = new HashMap<>();
-
+  private final SessionCommits commits = new SessionCommits();
   private boolean closed;
   private boolean closing;
   private boolean refusing;
@@ -193,18 +187,12 @@
     if (request.statement() instanceof SessionStatement.Commit) {
       transaction = null;
       if (answer.ok() && open.wrote()) {
-        recordCommit(transactionGroup, answer);
+        commits.committed(transactionGroup, answer.position());
       }
     }
     finish(request, answer);
   }
 
-  private void recordCommit(String group, Answer answer) {
-    if (answer.position() != null) {
-      lastCommits.merge(group, answer.position(), Position::max);
-    }
-  }
-
   private void begin(SessionRequest request, SessionStatement.Begin begin) {
     @Nullable Route route = context.routes().get().route(database);
     @Nullable StatementExecutor executor =
@@ -216,7 +204,11 @@
     transactionGroup = route.group();
     transaction =
         executor.transaction(
-            context, route, sessionState, begin.readOnly(), lastCommits.get(route.group()));
+            context,
+            commits.routeFor(route),
+            sessionState,
+            begin.readOnly(),
+            commits.last(route.group()));
     finish(request, Answer.local(TransactionState.OPEN));
   }
 
@@ -255,22 +247,25 @@
       refuse(request, AnswerCode.UNKNOWN_DATABASE, unknownDatabase());
       return;
     }
+    Route used = commits.routeFor(route);
     StatementExecutor.StatementExecution run =
         executor.statement(
             context,
-            route,
+            used,
             sessionState,
             request,
-            route.kind() == RouteKind.READ_YOUR_WRITES ? lastCommits.get(route.group()) : null,
-            answer -> finishSingle(request, route.group(), answer));
+            used.kind() == RouteKind.READ_YOUR_WRITES ? commits.last(used.group()) : null,
+            answer -> finishSingle(request, used, answer));
     singleStatement = run;
     run.start();
   }
 
-  private void finishSingle(SessionRequest request, String group, Answer answer) {
+  private void finishSingle(SessionRequest request, Route used, Answer answer) {
     singleStatement = null;
     if (answer.ok() && sessionState.writes(request.statement())) {
-      recordCommit(group, answer);
+      commits.committed(used.group(), answer.position());
+    } else if (answer.ok()) {
+      commits.read(used, answer.position());
     }
     finish(request, answer);
   }
--- a/core/src/main/java/org/pollenspar/core/connection/GroupRouter.java
+++ b/core/src/main/java/org/pollenspar/core/connection/GroupRouter.java
@@ -226,6 +226,25 @@
     recordPosition(pool, answer, sentNanos);
   }
 
+  /** Returns the latest known end of the primary's log; null if none is known. */
+  @Nullable Position latestPosition() {
+    return positions.latest();
+  }
+
+  /**
+   * Returns the primary's answer to a commit, without its position if that can't cover the commit:
+   * each commit has a later position than all that were known before it was sent.
+   *
+   * @param latest latest known end of the primary's log when the commit was sent
+   * @param term term of the primary then
+   */
+  static Answer checkedCommit(Answer answer, @Nullable Position latest, long term) {
+    @Nullable Position stated = answer.position();
+    boolean covers =
+        stated != null && stated.term() >= term && (latest == null || stated.compareTo(latest) > 0);
+    return covers ? answer : answer.withoutPosition();
+  }
+
   private void recordPosition(ConnectionPool pool, Answer answer, long sentNanos) {
     if (answer.position() == null || pool != primary()) {
       return;
--- a/core/src/main/java/org/pollenspar/core/connection/PositionHistory.java
+++ b/core/src/main/java/org/pollenspar/core/connection/PositionHistory.java
@@ -26,11 +26,13 @@
 
   /**
    * Adds the end of the log that an answer to a request sent at {@code sentNanos} carried. Ignores
-   * answers of an older term and answers to requests that were sent no later than the last one.
+   * answers to requests that were sent no later than the last one, and answers whose position is
+   * before the last one. A log doesn't become shorter, so such a position was not its end when it
+   * was stated, or the answer overtook another one.
    */
   public void add(Position position, long sentNanos) {
     @Nullable Sample last = samples.peekLast();
-    if (last != null && position.term() < last.position().term()) {
+    if (last != null && position.compareTo(last.position()) < 0) {
       return;
     }
     if (last != null && sentNanos - last.sentNanos() <= 0) {
--- a/core/src/main/java/org/pollenspar/core/connection/SessionTransaction.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SessionTransaction.java
@@ -356,6 +356,7 @@
         router.authority().writeStarted(router.group());
       }
       long sentNanos = context.clocks().steadyNanos();
+      @Nullable Position latest = router.latestPosition();
       @Nullable String name = shape == null ? null : heldConnection.preparedName(shape);
       heldConnection.run(
           new DatabaseCommand.Forward(request.id(), request.statement(), name, null),
@@ -363,7 +364,9 @@
             if (answer.code() != AnswerCode.LOST) {
               router.observe(heldConnection.pool(), route.priority(), answer, sentNanos);
             }
-            completed(heldConnection, answer);
+            completed(
+                heldConnection,
+                commitsWrites ? GroupRouter.checkedCommit(answer, latest, term) : answer);
             if (commitsWrites) {
               router.authority().writeEnded(router.group());
             }
--- a/core/src/main/java/org/pollenspar/core/connection/SingleStatement.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SingleStatement.java
@@ -171,10 +171,16 @@
       router.authority().writeStarted(router.group());
     }
     long term = router.term();
+    @Nullable Position latest = router.latestPosition();
     to.run(
         new DatabaseCommand.Forward(
             request.id(), request.statement(), preparedName(to), requiredPosition),
-        answer -> completed(to, answer, sentAt, term));
+        answer ->
+            completed(
+                to,
+                writes ? GroupRouter.checkedCommit(answer, latest, term) : answer,
+                sentAt,
+                term));
   }
 
   private @Nullable String preparedName(PooledDatabaseConnection to) {
--- a/core/src/main/java/org/pollenspar/core/request/Answer.java
+++ b/core/src/main/java/org/pollenspar/core/request/Answer.java
@@ -44,4 +44,9 @@
   public boolean showsTermAfter(long term) {
     return position != null && position.term() > term;
   }
+
+  /** Returns this answer without a position. */
+  public Answer withoutPosition() {
+    return new Answer(code, rows, detail, state, null);
+  }
 }
--- a/core/src/main/java/org/pollenspar/core/version/Route.java
+++ b/core/src/main/java/org/pollenspar/core/version/Route.java
@@ -21,4 +21,18 @@
     long maxStalenessMillis,
     long statementTimeoutMillis,
     long targetLatencyMillis,
-    int priority) {}
+    int priority) {
+
+  /** Returns this route with another rule for the databases that may answer reads. */
+  public Route withKind(RouteKind newKind) {
+    return new Route(
+        name,
+        database,
+        group,
+        newKind,
+        maxStalenessMillis,
+        statementTimeoutMillis,
+        targetLatencyMillis,
+        priority);
+  }
+}
--- a/core/src/test/java/org/pollenspar/core/connection/CallerSessionTest.java
+++ b/core/src/test/java/org/pollenspar/core/connection/CallerSessionTest.java
@@ -312,14 +312,15 @@
       assertEquals(AnswerCode.OK, caller.write("1").code());
       fixture.moveToSecondGroup("own");
       caller.read("1");
-      fixture.databases.positions.put("q", new Position(1, 301));
       if (inTransaction) {
         caller.send(new SessionStatement.Begin(false));
         caller.send(new SessionStatement.Write("WRITE 1 x"));
-        caller.send(new SessionStatement.Commit());
-      } else {
-        caller.send(new SessionStatement.Write("WRITE 1 x"));
+        fixture.time.advance(30);
       }
+      // The commit gets the next position, which no earlier answer states.
+      fixture.databases.positions.put("q", new Position(1, 301));
+      caller.send(
+          inTransaction ? new SessionStatement.Commit() : new SessionStatement.Write("WRITE 1 x"));
       fixture.time.advance(30);
       caller.send(new SessionStatement.Read("READ 1"));
       fixture.time.advance(30);
--- a/core/src/test/java/org/pollenspar/core/connection/PositionHistoryTest.java
+++ b/core/src/test/java/org/pollenspar/core/connection/PositionHistoryTest.java
@@ -39,6 +39,16 @@
       assertEquals(new Position(2, 1), history.latest());
     }
 
+    /** Guards against stale reads after an answer that states less than the end of the log. */
+    @Test
+    void ignoresAnswersThatStateAnEarlierPosition() {
+      history.add(new Position(1, 90), 100 * MILLI);
+      history.add(new Position(1, 80), 200 * MILLI);
+      assertNull(history.covering(101 * MILLI));
+      history.add(new Position(1, 90), 300 * MILLI);
+      assertEquals(new Position(1, 90), history.covering(101 * MILLI));
+    }
+
     /**
      * Guards against samples that are dropped to save space and leave a wrong one behind: the
      * position for a time must cover every write that was acknowledged up to that time.
