core: a stopping host doesn't close sessions whose next statement is on its way

Cause: all sessions without a running statement were closed at the same moment.

A session is closed together with an answer, or after 300 ms without traffic; a part of a statement counts as traffic.

--- a/core/src/main/java/org/pollenspar/core/connection/CallerSession.java
+++ b/core/src/main/java/org/pollenspar/core/connection/CallerSession.java
@@ -29,6 +29,15 @@
   /** Number of statements that may wait behind the one that runs. */
   public static final int PIPELINE_LIMIT = 64;
 
+  /**
+   * A caller that has just received an answer may have sent its next statement already, and one
+   * that has just connected its first. So a session is closed only after this time without traffic,
+   * or together with an answer.
+   */
+  private static final long QUIET_NANOS = 300_000_000;
+
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
   private final SessionContext context;
   private final String database;
   private final CallerConnection connection;
@@ -43,8 +52,14 @@
   private StatementExecutor.@Nullable StatementExecution singleStatement;
 
   private final SessionCommits commits = new SessionCommits();
+
+  /** Time of the last traffic on the connection, in nanoseconds of the steady clock. */
+  private long lastTrafficNanos;
+
+  private boolean partArrived;
   private boolean closed;
   private boolean closing;
+  private boolean closeScheduled;
   private boolean refusing;
   private boolean advancing;
 
@@ -53,6 +68,13 @@
     this.context = context;
     this.database = database;
     this.connection = connection;
+    this.lastTrafficNanos = context.clocks().steadyNanos();
+  }
+
+  /** Records that a part of a statement has arrived, whose rest is on its way. */
+  public void partArrived() {
+    partArrived = true;
+    lastTrafficNanos = context.clocks().steadyNanos();
   }
 
   /** Accepts a statement; returns false if {@link #PIPELINE_LIMIT} statements wait already. */
@@ -63,6 +85,7 @@
     if (queued.size() >= PIPELINE_LIMIT) {
       return false;
     }
+    partArrived = false;
     queued.addLast(request);
     advance();
     return true;
@@ -85,7 +108,7 @@
     return current == null && queued.isEmpty() && transaction == null;
   }
 
-  /** Closes the session as soon as it is idle. */
+  /** Closes the session with its next answer, or once it is idle and nothing has arrived lately. */
   public void closeWhenIdle() {
     closing = true;
     closeIfRequested();
@@ -93,7 +116,7 @@
 
   /**
    * Refuses all statements that have not started as not run, because the process stops. Closes the
-   * session once the running statement and these are answered, and rolls back its transaction.
+   * session as {@link #closeWhenIdle} does, and rolls back its transaction.
    */
   public void refuseNewWork() {
     refusing = true;
@@ -106,12 +129,39 @@
       transaction.abandon();
       transaction = null;
     }
-    if (closing && !closed && idle()) {
-      closed = true;
-      connection.close();
+    if (!closing || closed || !idle()) {
+      return;
+    }
+    long quiet = context.clocks().steadyNanos() - lastTrafficNanos;
+    if (quiet >= QUIET_NANOS) {
+      close();
+    } else if (!closeScheduled) {
+      closeScheduled = true;
+      context
+          .timers()
+          .after(
+              (QUIET_NANOS - quiet) / NANOS_PER_MILLI + 1,
+              () -> {
+                closeScheduled = false;
+                closeIfRequested();
+              });
+    }
+  }
+
+  /** Closes with the answer that was sent just now, so that the caller learns of both at once. */
+  private void closeAfterAnswer() {
+    if (partArrived) {
+      closeIfRequested();
+    } else if (!closed && idle()) {
+      close();
     }
   }
 
+  private void close() {
+    closed = true;
+    connection.close();
+  }
+
   private void advance() {
     if (advancing) {
       return;
@@ -124,7 +174,7 @@
           if (closing) {
             // Deferred, since a statement that arrived with this one may not have been received
             // yet.
-            context.timers().after(0, this::closeIfRequested);
+            context.timers().after(0, this::closeAfterAnswer);
           }
           return;
         }
@@ -298,6 +348,7 @@
       return;
     }
     current = null;
+    lastTrafficNanos = context.clocks().steadyNanos();
     if (!closed) {
       connection.answer(answer);
     }
--- a/core/src/test/java/org/pollenspar/core/connection/CallerSessionTest.java
+++ b/core/src/test/java/org/pollenspar/core/connection/CallerSessionTest.java
@@ -466,6 +466,7 @@
     @Test
     void idleSessionsCloseAtOnceAndOthersAfterTheirAnswer() {
       var idle = fixture.caller("till");
+      fixture.time.advance(300);
       var busy = fixture.caller("till");
       busy.send(new SessionStatement.Read("READ 1"));
       idle.session.closeWhenIdle();
