core, platform: callers are admitted by the keys of organisations

Where the configuration has tenants, callers with an unknown key are DENIED, a key that a version takes away ends its session's service and open transaction, and a database is told the name of the organisation for which a connection is opened, never the key. Where it has none, nothing changes.

RouteTable holds the organisations, CallerSession resolves its key with each statement, and the organisation travels in SessionState and ForwardRequest.

--- a/core/src/main/java/org/pollenspar/core/connection/CallerSession.java
+++ b/core/src/main/java/org/pollenspar/core/connection/CallerSession.java
@@ -38,8 +38,12 @@
 
   private static final long NANOS_PER_MILLI = 1_000_000;
 
+  private static final String DENIED =
+      "no organisation holds the key of this session; connect with a key that is configured";
+
   private final SessionContext context;
   private final String database;
+  private final String key;
   private final CallerConnection connection;
   private final SessionState sessionState = new SessionState();
   private final ArrayDeque<SessionRequest> queued = new ArrayDeque<>();
@@ -63,10 +67,16 @@
   private boolean refusing;
   private boolean advancing;
 
-  /** Creates a session for a database name that has a route. */
-  public CallerSession(SessionContext context, String database, CallerConnection connection) {
+  /**
+   * Creates a session for a database name that has a route.
+   *
+   * @param key key of the caller; empty for none
+   */
+  public CallerSession(
+      SessionContext context, String database, String key, CallerConnection connection) {
     this.context = context;
     this.database = database;
+    this.key = key;
     this.connection = connection;
     this.lastTrafficNanos = context.clocks().steadyNanos();
   }
@@ -208,9 +218,34 @@
     }
   }
 
+  /**
+   * Returns the organisation for which statements on a route run now; null if the caller is denied.
+   */
+  private @Nullable String organisation(Route route) {
+    return context.routes().get().organisation(route, key);
+  }
+
+  /** Applies a new version of the configuration, which may have taken the caller's key away. */
+  public void configurationChanged() {
+    StatementExecutor.@Nullable OpenTransaction open = transaction;
+    if (open != null && current == null && !open.failed() && !transactionAdmitted()) {
+      open.rollback();
+    }
+  }
+
+  /** Returns whether the open transaction still runs for the organisation that holds the key. */
+  private boolean transactionAdmitted() {
+    @Nullable Route route = context.routes().get().route(database);
+    return route == null || sessionState.organisation().equals(organisation(route));
+  }
+
   private void startInTransaction(SessionRequest request, StatementExecutor.OpenTransaction open) {
     SessionStatement statement = request.statement();
-    if (statement instanceof SessionStatement.Rollback) {
+    if (!transactionAdmitted() && !(statement instanceof SessionStatement.Rollback)) {
+      open.rollback();
+      transaction = null;
+      refuse(request, AnswerCode.DENIED, DENIED);
+    } else if (statement instanceof SessionStatement.Rollback) {
       open.rollback();
       transaction = null;
       finish(request, Answer.local(TransactionState.IDLE));
@@ -251,6 +286,12 @@
       refuse(request, AnswerCode.UNKNOWN_DATABASE, unknownDatabase());
       return;
     }
+    @Nullable String organisation = organisation(route);
+    if (organisation == null) {
+      refuse(request, AnswerCode.DENIED, DENIED);
+      return;
+    }
+    sessionState.organisation(organisation);
     transactionGroup = route.group();
     transaction =
         executor.transaction(
@@ -297,6 +338,12 @@
       refuse(request, AnswerCode.UNKNOWN_DATABASE, unknownDatabase());
       return;
     }
+    @Nullable String organisation = organisation(route);
+    if (organisation == null) {
+      refuse(request, AnswerCode.DENIED, DENIED);
+      return;
+    }
+    sessionState.organisation(organisation);
     Route used = commits.routeFor(route);
     StatementExecutor.StatementExecution run =
         executor.statement(
--- a/core/src/main/java/org/pollenspar/core/connection/ConnectionPool.java
+++ b/core/src/main/java/org/pollenspar/core/connection/ConnectionPool.java
@@ -13,6 +13,7 @@
 import org.pollenspar.core.process.Timers;
 import org.pollenspar.core.request.Answer;
 import org.pollenspar.core.request.AnswerCode;
+import org.pollenspar.core.version.RouteTable;
 
 /**
  * Pool of this host's connections to one database, with the queue of requests that wait for one.
@@ -419,7 +420,7 @@
         && connections.size() + opening < share
         && !backingOff()) {
       opening++;
-      opener.open(entry, new Opening());
+      opener.open(entry, RouteTable.NO_ORGANISATION, new Opening());
     }
   }
 
--- a/core/src/main/java/org/pollenspar/core/connection/ForwardedRequest.java
+++ b/core/src/main/java/org/pollenspar/core/connection/ForwardedRequest.java
@@ -15,6 +15,7 @@
  * @param id id that the caller gave the statement
  * @param statement a read, write, execution or commit
  * @param shape prepared statement that an execution runs; null for others
+ * @param organisation organisation for which the statement runs; empty for none
  * @param values session values
  * @param elapsedMillis time since the statement arrived
  * @param lastCommit last commit of the session, which reads must include; null for none
@@ -25,6 +26,7 @@
     String id,
     SessionStatement statement,
     @Nullable PreparedShape shape,
+    String organisation,
     Map<String, String> values,
     long elapsedMillis,
     @Nullable Position lastCommit,
@@ -52,6 +54,7 @@
         request.id(),
         request.statement(),
         sessionState.shapeOf(request.statement()),
+        sessionState.organisation(),
         Map.copyOf(sessionState.values()),
         Math.max(0, (nowNanos - request.arrivedNanos()) / NANOS_PER_MILLI),
         lastCommit,
@@ -63,8 +66,9 @@
     return new SessionRequest(id, statement, nowNanos - elapsedMillis * NANOS_PER_MILLI);
   }
 
-  /** Gives a session state the values and the prepared statement that this statement needs. */
+  /** Gives a session state all that this statement needs. */
   void applyTo(SessionState sessionState) {
+    sessionState.organisation(organisation);
     sessionState.replaceValues(values);
     if (shape != null && statement instanceof SessionStatement.Execute execute) {
       sessionState.prepare(execute.name(), shape);
--- a/core/src/main/java/org/pollenspar/core/connection/PhysicalConnection.java
+++ b/core/src/main/java/org/pollenspar/core/connection/PhysicalConnection.java
@@ -4,6 +4,7 @@
 import org.pollenspar.core.request.Answer;
 import org.pollenspar.core.request.AnswerCode;
 import org.pollenspar.core.request.DatabaseCommand;
+import org.pollenspar.core.version.RouteTable;
 
 /** A network connection to a database. Runs one command at a time. */
 public interface PhysicalConnection {
@@ -21,8 +22,13 @@
 
   /** Opens connections. */
   interface Opener {
-    /** Opens a connection and calls exactly one method of the listener, now or later. */
-    void open(DatabaseEntry database, OpenListener listener);
+    /**
+     * Opens a connection and calls exactly one method of the listener, now or later.
+     *
+     * @param organisation organisation whose statements will run on the connection; {@link
+     *     RouteTable#NO_ORGANISATION} for those of this host and of callers without keys
+     */
+    void open(DatabaseEntry database, String organisation, OpenListener listener);
   }
 
   /** Receives the outcome of an attempt to connect. */
--- a/core/src/main/java/org/pollenspar/core/connection/SessionState.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SessionState.java
@@ -5,11 +5,26 @@
 import org.jspecify.annotations.Nullable;
 import org.pollenspar.core.request.PreparedShape;
 import org.pollenspar.core.request.SessionStatement;
+import org.pollenspar.core.version.RouteTable;
 
-/** State of a caller's session: session values, and prepared statements by the caller's names. */
+/**
+ * State of a caller's session: session values, prepared statements by the caller's names, and the
+ * organisation for which statements run. A connection to a database belongs to one organisation.
+ */
 public final class SessionState {
   private final Map<String, String> values = new HashMap<>();
   private final Map<String, PreparedShape> prepared = new HashMap<>();
+  private String organisation = RouteTable.NO_ORGANISATION;
+
+  /** Returns the organisation for which statements run now. */
+  public String organisation() {
+    return organisation;
+  }
+
+  /** Sets the organisation for which statements run from now on. */
+  void organisation(String name) {
+    organisation = name;
+  }
 
   public Map<String, String> values() {
     return values;
--- a/core/src/main/java/org/pollenspar/core/process/StoredValue.java
+++ b/core/src/main/java/org/pollenspar/core/process/StoredValue.java
@@ -90,6 +90,31 @@
     return has(name) ? number(name, min, max) : missing;
   }
 
+  /** Returns a number within a range, whole or not. */
+  public double decimal(String name, double min, double max) throws InvalidException {
+    JsonNode value = node.path(name);
+    if (!value.isNumber() || !(value.asDouble() >= min && value.asDouble() <= max)) {
+      throw new InvalidException("field " + name + " is not a number from " + min + " to " + max);
+    }
+    return value.asDouble();
+  }
+
+  /** Returns the texts of an array field, as {@link #text}; none if it is missing or null. */
+  public List<String> texts(String name) throws InvalidException {
+    JsonNode array = node.path(name);
+    List<String> values = new ArrayList<>();
+    if (has(name) && !array.isArray()) {
+      throw new InvalidException("field " + name + " is not an array");
+    }
+    for (JsonNode each : array) {
+      if (!each.isTextual() || !isPrintable(each.asText())) {
+        throw new InvalidException("field " + name + " has an entry that is not a printable text");
+      }
+      values.add(each.asText());
+    }
+    return values;
+  }
+
   /** Returns a truth value; false if the field is missing or null. */
   public boolean flag(String name) throws InvalidException {
     if (has(name) && !node.path(name).isBoolean()) {
--- a/core/src/main/java/org/pollenspar/core/request/AnswerCode.java
+++ b/core/src/main/java/org/pollenspar/core/request/AnswerCode.java
@@ -20,6 +20,10 @@
   ABORTED(Effect.NOTHING),
   /** No route is configured for this database name; nothing ran. */
   UNKNOWN_DATABASE(Effect.NOTHING),
+  /**
+   * No organisation holds the caller's key; nothing ran, and an open transaction is rolled back.
+   */
+  DENIED(Effect.NOTHING),
   /** The statement cannot be parsed or is not allowed in this state; nothing ran. */
   MALFORMED(Effect.NOTHING),
   /** The message is larger than the protocol permits; nothing ran. */
--- a/core/src/main/java/org/pollenspar/core/version/Route.java
+++ b/core/src/main/java/org/pollenspar/core/version/Route.java
@@ -12,6 +12,7 @@
  * @param statementTimeoutMillis timeout of one statement
  * @param targetLatencyMillis latency objective of one operation
  * @param priority 0 is the most urgent
+ * @param isPublic whether callers need no key
  */
 public record Route(
     String name,
@@ -21,7 +22,30 @@
     long maxStalenessMillis,
     long statementTimeoutMillis,
     long targetLatencyMillis,
-    int priority) {
+    int priority,
+    boolean isPublic) {
+
+  /** Creates a route that isn't public. */
+  public Route(
+      String name,
+      String database,
+      String group,
+      RouteKind kind,
+      long maxStalenessMillis,
+      long statementTimeoutMillis,
+      long targetLatencyMillis,
+      int priority) {
+    this(
+        name,
+        database,
+        group,
+        kind,
+        maxStalenessMillis,
+        statementTimeoutMillis,
+        targetLatencyMillis,
+        priority,
+        false);
+  }
 
   /** Returns this route with another rule for the databases that may answer reads. */
   public Route withKind(RouteKind newKind) {
@@ -33,6 +57,7 @@
         maxStalenessMillis,
         statementTimeoutMillis,
         targetLatencyMillis,
-        priority);
+        priority,
+        isPublic);
   }
 }
--- a/core/src/main/java/org/pollenspar/core/version/RouteTable.java
+++ b/core/src/main/java/org/pollenspar/core/version/RouteTable.java
@@ -10,12 +10,26 @@
  * @param routes routes by database name
  * @param groups database groups by name
  * @param transactionIdleMillis time that an open transaction may wait for its next statement
+ * @param organisations organisations whose callers are served; null if callers need no keys
  */
 public record RouteTable(
     long version,
     Map<String, Route> routes,
     Map<String, Group> groups,
-    long transactionIdleMillis) {
+    long transactionIdleMillis,
+    @Nullable Organisations organisations) {
+
+  /** Organisation of statements that run for none: those of hosts and on routes without keys. */
+  public static final String NO_ORGANISATION = "";
+
+  /** Creates a table in which callers need no keys. */
+  public RouteTable(
+      long version,
+      Map<String, Route> routes,
+      Map<String, Group> groups,
+      long transactionIdleMillis) {
+    this(version, routes, groups, transactionIdleMillis, null);
+  }
 
   /**
    * Limits of one database group.
@@ -32,4 +46,15 @@
   public @Nullable Route route(String database) {
     return routes.get(database);
   }
+
+  /**
+   * Returns the name of the organisation for which a caller's statements run on a route, {@link
+   * #NO_ORGANISATION} if the route needs no key; null if the key admits the caller to nothing.
+   */
+  public @Nullable String organisation(Route route, String key) {
+    if (organisations == null || route.isPublic()) {
+      return NO_ORGANISATION;
+    }
+    return organisations.holderOf(key);
+  }
 }
--- a/core/src/test/java/org/pollenspar/core/connection/ForwardingFixture.java
+++ b/core/src/test/java/org/pollenspar/core/connection/ForwardingFixture.java
@@ -280,7 +280,7 @@
     private int next;
 
     Caller(HostUnderTest host, String database) {
-      session = new CallerSession(host.context, database, this);
+      session = new CallerSession(host.context, database, "", this);
     }
 
     @Override
--- a/core/src/test/java/org/pollenspar/core/connection/ForwardingProperties.java
+++ b/core/src/test/java/org/pollenspar/core/connection/ForwardingProperties.java
@@ -42,7 +42,7 @@
       this.name = name;
       this.transaction = statements > 0;
       this.write = write;
-      this.session = new CallerSession(fixture.hosts.get(host).context, "till", this);
+      this.session = new CallerSession(fixture.hosts.get(host).context, "till", "", this);
       if (transaction) {
         add("begin", new SessionStatement.Begin(false));
         for (int i = 0; i < statements; i++) {
--- a/core/src/test/java/org/pollenspar/core/connection/ManyHostsTest.java
+++ b/core/src/test/java/org/pollenspar/core/connection/ManyHostsTest.java
@@ -69,7 +69,8 @@
     }
 
     @Override
-    public void open(DatabaseEntry database, PhysicalConnection.OpenListener listener) {
+    public void open(
+        DatabaseEntry database, String organisation, PhysicalConnection.OpenListener listener) {
       if (connections >= CONNECTION_LIMIT) {
         refusedConnections++;
         timers.after(
@@ -206,7 +207,7 @@
           @Override
           public void close() {}
         };
-    new CallerSession(host.context, "rank" + rank, caller)
+    new CallerSession(host.context, "rank" + rank, "", caller)
         .receive(
             new SessionRequest(String.valueOf(rank), new SessionStatement.Read("READ x"), arrived));
   }
--- a/core/src/test/java/org/pollenspar/core/connection/ScriptedDatabases.java
+++ b/core/src/test/java/org/pollenspar/core/connection/ScriptedDatabases.java
@@ -55,7 +55,8 @@
   }
 
   @Override
-  public void open(DatabaseEntry database, PhysicalConnection.OpenListener listener) {
+  public void open(
+      DatabaseEntry database, String organisation, PhysicalConnection.OpenListener listener) {
     timers.after(
         1,
         () -> {
@@ -66,7 +67,7 @@
                 Answer.error(AnswerCode.CONNECTION_LIMIT, "full", TransactionState.IDLE));
           } else {
             ScriptedConnection connection =
-                new ScriptedConnection(database.id(), connections.size());
+                new ScriptedConnection(database.id(), connections.size(), organisation);
             connections.add(connection);
             listener.opened(connection, Answer.local(TransactionState.IDLE));
           }
@@ -77,13 +78,15 @@
   final class ScriptedConnection implements PhysicalConnection {
     final String database;
     final int number;
+    final String organisation;
     boolean closed;
     private TransactionState state = TransactionState.IDLE;
     private @Nullable Consumer<Answer> waiting;
 
-    ScriptedConnection(String database, int number) {
+    ScriptedConnection(String database, int number, String organisation) {
       this.database = database;
       this.number = number;
+      this.organisation = organisation;
     }
 
     @Override
--- a/core/src/test/java/org/pollenspar/core/connection/SessionFixture.java
+++ b/core/src/test/java/org/pollenspar/core/connection/SessionFixture.java
@@ -13,6 +13,8 @@
 import org.pollenspar.core.request.PreparedShape;
 import org.pollenspar.core.request.SessionRequest;
 import org.pollenspar.core.request.SessionStatement;
+import org.pollenspar.core.version.Organisation;
+import org.pollenspar.core.version.Organisations;
 import org.pollenspar.core.version.Route;
 import org.pollenspar.core.version.RouteKind;
 import org.pollenspar.core.version.RouteTable;
@@ -99,6 +101,12 @@
     routes = routes(routes.version() + 1, table);
   }
 
+  /** Returns the organisation of the connection over which the last command was sent. */
+  String organisationOfLastConnection() {
+    int last = databases.received.get(databases.received.size() - 1).connection();
+    return databases.connections.get(last).organisation;
+  }
+
   private static Route route(String name, RouteKind kind, int priority) {
     return new Route(name, name, GROUP, kind, 1_500, 800, 150, priority);
   }
@@ -108,7 +116,24 @@
   }
 
   Caller caller(String database) {
-    return new Caller(database);
+    return new Caller(database, "");
+  }
+
+  Caller caller(String database, String key) {
+    return new Caller(database, key);
+  }
+
+  /** Applies a configuration with organisations, by the keys that they hold. */
+  void organisations(Map<String, String> namesByKey) {
+    Map<String, Organisation> byName = new HashMap<>();
+    namesByKey.values().forEach(name -> byName.put(name, new Organisation(name, null)));
+    routes =
+        new RouteTable(
+            routes.version() + 1,
+            routes.routes(),
+            routes.groups(),
+            routes.transactionIdleMillis(),
+            new Organisations(byName, namesByKey));
   }
 
   /** A caller that records its answers. */
@@ -118,8 +143,8 @@
     boolean closed;
     private int next;
 
-    Caller(String database) {
-      session = new CallerSession(context, database, this);
+    Caller(String database, String key) {
+      session = new CallerSession(context, database, key, this);
     }
 
     @Override
--- a/core/src/test/java/org/pollenspar/core/connection/SharedDatabase.java
+++ b/core/src/test/java/org/pollenspar/core/connection/SharedDatabase.java
@@ -250,7 +250,8 @@
   }
 
   @Override
-  public void open(DatabaseEntry database, PhysicalConnection.OpenListener listener) {
+  public void open(
+      DatabaseEntry database, String organisation, PhysicalConnection.OpenListener listener) {
     offer(
         () -> CONNECT_MS,
         answer -> listener.opened(new ModelConnection(), Answer.local(TransactionState.IDLE)));
--- a/edge/src/main/java/org/pollenspar/edge/connection/ForwardCodec.java
+++ b/edge/src/main/java/org/pollenspar/edge/connection/ForwardCodec.java
@@ -33,6 +33,7 @@
         ForwardRequest.newBuilder()
             .setRoute(encode(request.route()))
             .setStatementId(request.id())
+            .setOrganisation(request.organisation())
             .putAllSessionValues(request.values())
             .setElapsedMs((int) Math.min(Integer.MAX_VALUE, request.elapsedMillis()));
     encodeStatement(request.statement(), message);
@@ -92,6 +93,7 @@
         message.getShape().isEmpty()
             ? null
             : new PreparedShape(message.getShapeWrites(), message.getShape()),
+        message.getOrganisation(),
         message.getSessionValuesMap(),
         message.getElapsedMs(),
         message.hasLastCommit() ? decode(message.getLastCommit()) : null,
--- a/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
@@ -37,6 +37,7 @@
 import org.pollenspar.core.process.SharedRenewal;
 import org.pollenspar.core.process.Timers;
 import org.pollenspar.core.request.DatabaseCommand;
+import org.pollenspar.core.version.Route;
 import org.pollenspar.core.version.RouteTable;
 
 /**
@@ -314,6 +315,7 @@
       }
     }
     homes.assign();
+    List.copyOf(sessions).forEach(CallerSession::configurationChanged);
   }
 
   /**
@@ -397,9 +399,21 @@
     return routes.route(database) != null;
   }
 
-  /** Opens a session whose answers go to the connection. */
-  public CallerSession openSession(String database, CallerConnection connection) {
-    CallerSession session = new CallerSession(context, database, connection);
+  /**
+   * Returns whether a caller with a key is served on the route of a database name, which exists.
+   */
+  public boolean admits(String database, String key) {
+    @Nullable Route route = routes.route(database);
+    return route != null && routes.organisation(route, key) != null;
+  }
+
+  /**
+   * Opens a session whose answers go to the connection.
+   *
+   * @param key key of the caller; empty for none
+   */
+  public CallerSession openSession(String database, String key, CallerConnection connection) {
+    CallerSession session = new CallerSession(context, database, key, connection);
     sessions.add(session);
     return session;
   }
