core: a pooled connection serves one organisation

Cause: a connection to a database now belongs to one organisation, but the pool opened all of them without one and granted any of them to any request.

Change: ConnectionPool grants a connection only to requests of its organisation. ConnectionDistribution decides which organisation gets a connection or the place of an idle one, ConnectionOpening opens them with ConnectBackoff (both were part of ConnectionPool), and PooledConnections counts them by organisation. Among requests of one organisation nothing is decided differently. The expected wait, also for the choice of a read's database, takes the organisation.

--- a/core/src/main/java/org/pollenspar/core/connection/ConnectionPool.java
+++ b/core/src/main/java/org/pollenspar/core/connection/ConnectionPool.java
@@ -1,19 +1,13 @@
 package org.pollenspar.core.connection;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.pollenspar.core.process.Clocks;
 import org.pollenspar.core.process.Timers;
-import org.pollenspar.core.request.Answer;
 import org.pollenspar.core.request.AnswerCode;
-import org.pollenspar.core.version.RouteTable;
 
 /**
  * Pool of this host's connections to one database, with the queue of requests that wait for one.
@@ -28,42 +22,46 @@
  * urgent ranks on this host alone. Requests that can't start at once are queued. A request without
  * a permit is refused instead if its expected wait exceeds its maximum wait.
  *
- * <p>Connections are opened on demand, up to the share of this host. The backoff after a failed
- * attempt to connect doubles with each failure; it is short and constant if the database is out of
- * connections. If an attempt fails while no connection is open, all waiting requests are refused.
+ * <p>Connections are opened on demand, up to the share of this host, by {@link ConnectionOpening}.
+ * If an attempt fails while no connection is open, all waiting requests are refused; if only its
+ * organisation has none, the requests of that organisation are.
+ *
+ * <p>A connection belongs to one organisation and is granted only to its requests; {@link
+ * ConnectionDistribution} decides which organisations get connections. Once the share is used up,
+ * an idle connection is closed to open one for another organisation. The expected wait of a request
+ * doesn't count what other organisations have queued in its rank. If all requests are of one
+ * organisation, no connection is closed to make room.
  *
  * <p>All methods run on one thread.
  */
 public final class ConnectionPool {
   private static final long NANOS_PER_MILLI = 1_000_000;
-  private static final long MIN_BACKOFF_MS = 100;
-  private static final long MAX_BACKOFF_MS = 1_600;
-  private static final long CONNECTION_LIMIT_BACKOFF_MS = 150;
 
   /** Weight of the latest use in the mean duration of a use. */
   private static final double SMOOTHING = 0.1;
 
   private static final long RATE_LIMIT_POLL_MS = 20;
 
+  /** Time to open a connection: 12 ms of the database's work, and the way there and back. */
+  private static final double OPENING_NANOS = 14e6;
+
   /** Mean duration of one use of a connection, assumed before the first use has ended. */
   private static final double INITIAL_MEAN_USE_NANOS = 20e6;
 
-  private final PhysicalConnection.Opener opener;
   private final Clocks clocks;
   private final Timers timers;
-  private final Set<PooledDatabaseConnection> connections = new HashSet<>();
-  private final ArrayDeque<PooledDatabaseConnection> idle = new ArrayDeque<>();
+  private final ConnectionPoolCounts counts;
+  private final PooledConnections connections = new PooledConnections();
   private final ConnectionRequestQueue queue = new ConnectionRequestQueue();
+  private final ConnectionDistribution distribution =
+      new ConnectionDistribution(queue, connections);
+  private final ConnectionOpening opening;
   private final RankRateLimiter rateLimiter = new RankRateLimiter();
   private final BrokeredAdmission admission;
   private final Map<ConnectionRequest, PermittedRequest> queuedWithPermit = new HashMap<>();
   private boolean rateLimitPollScheduled;
   private DatabaseEntry entry;
   private int share = 1;
-  private int opening;
-  private long backoffMillis;
-  private long backoffUntilNanos;
-  private boolean unreachable;
   private boolean retired;
   private double meanUseNanos = INITIAL_MEAN_USE_NANOS;
   private long lastAnswerNanos;
@@ -71,16 +69,30 @@
   private long laggingUntilNanos;
   private long lagBackoffMillis;
 
-  /** Creates a pool without connections. */
+  /** Creates a pool without connections that has counts of its own. */
   public ConnectionPool(
       DatabaseEntry entry,
       PhysicalConnection.Opener opener,
       SlotPermits permits,
       Clocks clocks,
       Timers timers) {
+    this(entry, opener, permits, new ConnectionPoolCounts(), clocks, timers);
+  }
+
+  /** Creates a pool without connections. */
+  ConnectionPool(
+      DatabaseEntry entry,
+      PhysicalConnection.Opener opener,
+      SlotPermits permits,
+      ConnectionPoolCounts counts,
+      Clocks clocks,
+      Timers timers) {
     this.entry = entry;
-    this.opener = opener;
     this.admission = new BrokeredAdmission(permits, clocks);
+    this.opening =
+        new ConnectionOpening(
+            this, opener, connections, queue, distribution, counts, clocks, timers);
+    this.counts = counts;
     this.clocks = clocks;
     this.timers = timers;
   }
@@ -95,8 +107,7 @@
     entry = newEntry;
     if (moved) {
       closeIdle();
-      unreachable = false;
-      backoffMillis = 0;
+      opening.endBackoff();
     }
   }
 
@@ -105,24 +116,43 @@
     share = Math.max(1, limit);
   }
 
-  /** Returns whether the database is in service and not known to be unreachable. */
-  public boolean usable() {
-    return !retired && !(unreachable && backingOff());
+  int share() {
+    return share;
   }
 
-  private boolean backingOff() {
-    return backoffMillis > 0 && clocks.steadyNanos() - backoffUntilNanos < 0;
+  boolean retired() {
+    return retired;
   }
 
-  /** Returns the expected time until a new request of a rank is answered, in nanoseconds. */
-  public double expectedNanos(int priority) {
-    int busy = connections.size() - idle.size() + opening;
-    double requestsAhead = queue.requestsAhead(priority) + Math.max(0, busy + 1 - share);
+  /** Returns whether the database is in service and not known to be unreachable. */
+  public boolean usable() {
+    return !retired && !opening.unreachable();
+  }
+
+  /**
+   * Returns the expected time until a new request of a rank and organisation is answered, in
+   * nanoseconds.
+   *
+   * <p>An organisation without connections also waits for the more urgent requests of the others.
+   */
+  public double expectedNanos(int priority, String organisation) {
+    double requestsAhead =
+        queue.requestsAhead(priority, organisation) + Math.max(0, connections.busy() + 1 - share);
+    double connectionWaitNanos =
+        meanUseNanos * requestsAhead / distribution.usable(organisation, share);
+    if (connections.held(organisation) == 0) {
+      connectionWaitNanos +=
+          meanUseNanos * queue.moreUrgentOfOthers(priority, organisation) / share;
+    }
+    if (distribution.mustMakeRoom(organisation, share)) {
+      connectionWaitNanos += OPENING_NANOS;
+    }
     double admissionWaitNanos =
         admission.permitNeeded(priority)
             ? admission.waitNanos(priority)
-            : rateLimiter.waitNanos(priority, queue.waiting(priority), clocks.steadyNanos());
-    return meanUseNanos + Math.max(meanUseNanos * requestsAhead / share, admissionWaitNanos);
+            : rateLimiter.waitNanos(
+                priority, queue.turnsAhead(priority, organisation), clocks.steadyNanos());
+    return meanUseNanos + Math.max(connectionWaitNanos, admissionWaitNanos);
   }
 
   /** Returns how long ago the database last answered, in milliseconds; -1 if never. */
@@ -145,7 +175,7 @@
    */
   public void acquire(ConnectionRequest request) {
     if (!usable()) {
-      request.refused(AnswerCode.BUSY, reason("unreachable"));
+      refuse(request, ConnectionPoolCounts.Refusal.UNREACHABLE, "unreachable");
       return;
     }
     if (admission.permitNeeded(request.priority())) {
@@ -160,7 +190,7 @@
    */
   private void startPermitted(ConnectionRequest request) {
     if (!usable()) {
-      request.refused(AnswerCode.BUSY, reason("unreachable"));
+      refuse(request, ConnectionPoolCounts.Refusal.UNREACHABLE, "unreachable");
     } else if (!startNow(request)) {
       if (request instanceof PermittedRequest withPermit) {
         queuedWithPermit.put(withPermit.request(), withPermit);
@@ -171,11 +201,9 @@
 
   private boolean startNow(ConnectionRequest request) {
     removeLost();
-    if (idle.isEmpty() || !mayStart(request.priority(), clocks.steadyNanos())) {
-      return false;
-    }
-    grant(request);
-    return true;
+    return connections.idle(request.organisation()) > 0
+        && mayStart(request.priority(), clocks.steadyNanos())
+        && grant(request);
   }
 
   /**
@@ -189,24 +217,34 @@
   }
 
   private void enqueue(ConnectionRequest request) {
-    double wait = expectedNanos(request.priority()) - meanUseNanos;
+    double wait = expectedNanos(request.priority(), request.organisation()) - meanUseNanos;
     if (!(request instanceof PermittedRequest) && wait > request.maxWaitNanos()) {
-      request.refused(
-          AnswerCode.BUSY,
-          reason("overloaded") + "; retry in " + Math.round(wait / NANOS_PER_MILLI) + " ms");
+      refuse(
+          request,
+          ConnectionPoolCounts.Refusal.OVERLOADED,
+          "overloaded; retry in " + Math.round(wait / NANOS_PER_MILLI) + " ms");
       return;
     }
     queue.add(request);
-    openIfNeeded();
+    opening.openIfNeeded();
     scheduleRateLimitPoll();
+    opening.retryAfterBackoff(request.organisation());
   }
 
-  private void grant(ConnectionRequest request) {
+  private void refuse(ConnectionRequest request, ConnectionPoolCounts.Refusal cause, String state) {
     forgetQueuedPermit(request);
-    @Nullable PooledDatabaseConnection connection = takeIdle(request.sessionState());
+    counts.countRefusal(cause);
+    request.refused(AnswerCode.BUSY, "database " + entry.id() + " is " + state);
+  }
+
+  private boolean grant(ConnectionRequest request) {
+    forgetQueuedPermit(request);
+    @Nullable PooledDatabaseConnection connection =
+        connections.takeIdle(request.organisation(), request.sessionState());
     if (connection != null) {
       request.granted(connection);
     }
+    return connection != null;
   }
 
   private void forgetQueuedPermit(ConnectionRequest request) {
@@ -217,7 +255,7 @@
 
   /** Serves the queue again later, since a rate-limited rank may start then. */
   private void scheduleRateLimitPoll() {
-    if (!rateLimitPollScheduled && !idle.isEmpty() && queue.length() > 0) {
+    if (!rateLimitPollScheduled && distribution.idleAndWaiting()) {
       rateLimitPollScheduled = true;
       timers.after(
           RATE_LIMIT_POLL_MS,
@@ -228,10 +266,6 @@
     }
   }
 
-  private String reason(String state) {
-    return "database " + entry.id() + " is " + state;
-  }
-
   /** Withdraws a waiting request; returns whether it was still waiting. */
   public boolean withdraw(ConnectionRequest request) {
     @Nullable PermittedRequest withPermit = queuedWithPermit.remove(request);
@@ -256,27 +290,25 @@
       discard(connection);
       return;
     }
-    idle.addFirst(connection);
+    connections.putIdle(connection);
     serveQueue();
   }
 
   /** Closes a connection that must not be reused because its state is unknown. */
   public void discard(PooledDatabaseConnection connection) {
     connections.remove(connection);
-    idle.remove(connection);
     connection.releasePermit();
     if (!connection.lost()) {
       connection.close();
     }
-    openIfNeeded();
+    opening.openIfNeeded();
   }
 
   /** Records a complete answer of the database, which shows that it is reachable. */
   public void recordAnswer() {
     answered = true;
     lastAnswerNanos = clocks.steadyNanos();
-    unreachable = false;
-    backoffMillis = 0;
+    opening.endBackoff();
   }
 
   /**
@@ -345,15 +377,9 @@
   /** Closes idle connections that were not used for longer than a time. */
   public void closeUnused(long longerThanMillis) {
     long now = clocks.steadyNanos();
-    Iterator<PooledDatabaseConnection> each = idle.iterator();
-    while (each.hasNext()) {
-      PooledDatabaseConnection connection = each.next();
-      if (now - connection.lastUsedNanos() > longerThanMillis * NANOS_PER_MILLI) {
-        each.remove();
-        connections.remove(connection);
-        connection.close();
-      }
-    }
+    connections
+        .removeIdle(each -> now - each.lastUsedNanos() > longerThanMillis * NANOS_PER_MILLI)
+        .forEach(PooledDatabaseConnection::close);
   }
 
   /**
@@ -362,103 +388,57 @@
    * @param state state of the database that the refusals state as the reason
    */
   public void refuseWaiting(String state) {
+    refuseWaiting(ConnectionPoolCounts.Refusal.OUT_OF_SERVICE, state);
+  }
+
+  void refuseWaiting(ConnectionPoolCounts.Refusal cause, String state) {
     List<ConnectionRequest> waiting = new ArrayList<>(queue.drain());
     waiting.addAll(admission.drain());
-    for (ConnectionRequest request : waiting) {
-      forgetQueuedPermit(request);
-      request.refused(AnswerCode.BUSY, reason(state));
-    }
+    refuse(waiting, cause, state);
+  }
+
+  /** Refuses requests that were removed from the queue. */
+  void refuse(List<ConnectionRequest> requests, ConnectionPoolCounts.Refusal cause, String state) {
+    requests.forEach(request -> refuse(request, cause, state));
   }
 
   private void closeIdle() {
-    List<PooledDatabaseConnection> all = new ArrayList<>(idle);
-    idle.clear();
-    for (PooledDatabaseConnection connection : all) {
-      connections.remove(connection);
-      connection.close();
-    }
+    connections.removeIdle(each -> true).forEach(PooledDatabaseConnection::close);
   }
 
   private void removeLost() {
-    idle.removeIf(
-        connection -> {
-          if (connection.lost()) {
-            connections.remove(connection);
-          }
-          return connection.lost();
-        });
-  }
-
-  private @Nullable PooledDatabaseConnection takeIdle(SessionState sessionState) {
-    for (PooledDatabaseConnection connection : idle) {
-      if (connection.hasValues(sessionState)) {
-        idle.remove(connection);
-        return connection;
-      }
-    }
-    return idle.pollFirst();
+    connections.removeIdle(PooledDatabaseConnection::lost);
   }
 
-  private void serveQueue() {
+  /** Grants idle connections to waiting requests and opens connections that are lacking. */
+  void serveQueue() {
     removeLost();
-    while (!idle.isEmpty()) {
-      long now = clocks.steadyNanos();
-      @Nullable ConnectionRequest request = queue.poll(priority -> mayStart(priority, now));
-      if (request == null) {
-        scheduleRateLimitPoll();
-        return;
-      }
+    // A place that goes to another organisation must not be granted to the owner before.
+    opening.openIfNeeded();
+    @Nullable ConnectionRequest request = pollStartable();
+    while (request != null) {
       grant(request);
+      request = pollStartable();
     }
-    openIfNeeded();
-  }
-
-  private void openIfNeeded() {
-    while (!retired
-        && idle.isEmpty()
-        && opening < queue.length()
-        && connections.size() + opening < share
-        && !backingOff()) {
-      opening++;
-      opener.open(entry, RouteTable.NO_ORGANISATION, new Opening());
-    }
+    scheduleRateLimitPoll();
+    opening.openIfNeeded();
   }
 
-  /** Receives the outcome of one attempt to connect. */
-  private final class Opening implements PhysicalConnection.OpenListener {
-    @Override
-    public void opened(PhysicalConnection connection, Answer greeting) {
-      opening--;
-      recordAnswer();
-      PooledDatabaseConnection pooled =
-          new PooledDatabaseConnection(ConnectionPool.this, connection);
-      pooled.markUsed(clocks.steadyNanos());
-      if (retired) {
-        pooled.close();
-        return;
-      }
-      connections.add(pooled);
-      idle.addLast(pooled);
-      serveQueue();
+  /**
+   * Removes and returns the first request of the most urgent rank that may start on an idle
+   * connection; null if there is none.
+   */
+  private @Nullable ConnectionRequest pollStartable() {
+    if (connections.idle() == 0) {
+      return null;
     }
-
-    @Override
-    public void refused(Answer reason) {
-      opening--;
-      unreachable = connections.isEmpty() || reason.code() == AnswerCode.LOST;
-      // All hosts share the connection limit, so a connection may become available at any moment.
-      // An attempt is cheap, so the backoff stays short and doesn't grow.
-      backoffMillis =
-          reason.code() == AnswerCode.CONNECTION_LIMIT
-              ? CONNECTION_LIMIT_BACKOFF_MS
-              : Math.min(MAX_BACKOFF_MS, Math.max(MIN_BACKOFF_MS, 2 * backoffMillis));
-      backoffUntilNanos = clocks.steadyNanos() + backoffMillis * NANOS_PER_MILLI;
-      if (connections.isEmpty()) {
-        refuseWaiting(
-            reason.code() == AnswerCode.CONNECTION_LIMIT ? "out of connections" : "unreachable");
-      } else if (queue.length() > 0) {
-        timers.after(backoffMillis, ConnectionPool.this::openIfNeeded);
+    long now = clocks.steadyNanos();
+    for (int rank : queue.ranks()) {
+      @Nullable String first = distribution.firstToServe(rank);
+      if (first != null && mayStart(rank, now)) {
+        return queue.poll(rank, first);
       }
     }
+    return null;
   }
 }
--- a/core/src/main/java/org/pollenspar/core/connection/ConnectionRequest.java
+++ b/core/src/main/java/org/pollenspar/core/connection/ConnectionRequest.java
@@ -13,6 +13,11 @@
   /** Returns the session state; among the idle connections, one with equal values is preferred. */
   SessionState sessionState();
 
+  /** Returns the organisation that the connection must belong to. */
+  default String organisation() {
+    return sessionState().organisation();
+  }
+
   /** The connection is reserved for this request until it is released or discarded. */
   void granted(PooledDatabaseConnection connection);
 
--- a/core/src/main/java/org/pollenspar/core/connection/GroupRouter.java
+++ b/core/src/main/java/org/pollenspar/core/connection/GroupRouter.java
@@ -56,6 +56,7 @@
   private final Clocks clocks;
   private final Timers timers;
   private final Map<String, ConnectionPool> pools = new HashMap<>();
+  private final ConnectionPoolCounts counts = new ConnectionPoolCounts();
   private final PositionHistory positions = new PositionHistory();
   private int share = 1;
 
@@ -94,7 +95,7 @@
       if (pool != null) {
         pool.update(entry);
       } else {
-        ConnectionPool added = new ConnectionPool(entry, opener, permits, clocks, timers);
+        ConnectionPool added = new ConnectionPool(entry, opener, permits, counts, clocks, timers);
         added.share(share);
         pools.put(entry.id(), added);
       }
@@ -113,6 +114,11 @@
     pools.values().forEach(pool -> pool.share(connections));
   }
 
+  /** Returns what all pools of the group have counted since the start. */
+  public ConnectionPoolCounts counts() {
+    return counts;
+  }
+
   /** Returns the pools of all databases. */
   public Collection<ConnectionPool> pools() {
     return pools.values();
@@ -173,7 +179,10 @@
 
   /** Returns where a read should run now; null if no database can answer it. */
   public @Nullable StatementTarget readTarget(
-      Route route, @Nullable Position lastCommitPosition, Set<ConnectionPool> excluded) {
+      Route route,
+      String organisation,
+      @Nullable Position lastCommitPosition,
+      Set<ConnectionPool> excluded) {
     @Nullable ConnectionPool primary = primary();
     @Nullable StatementTarget atPrimary =
         primary == null ? null : new StatementTarget(primary, null, true);
@@ -185,7 +194,7 @@
     double bestCost = Double.MAX_VALUE;
     if (primary != null && primary.usable() && !excluded.contains(primary)) {
       best = atPrimary;
-      bestCost = cost(primary, route.priority()) + PRIMARY_PENALTY_NANOS;
+      bestCost = cost(primary, route.priority(), organisation) + PRIMARY_PENALTY_NANOS;
     }
     if (requiredPosition == null) {
       return best;
@@ -197,7 +206,7 @@
       if (pool.entry().draining()) {
         continue;
       }
-      double cost = cost(pool, route.priority());
+      double cost = cost(pool, route.priority(), organisation);
       if (cost < bestCost) {
         best = new StatementTarget(pool, requiredPosition, false);
         bestCost = cost;
@@ -206,9 +215,9 @@
     return best;
   }
 
-  private double cost(ConnectionPool pool, int priority) {
+  private double cost(ConnectionPool pool, int priority, String organisation) {
     boolean remote = !pool.entry().domain().equals(ownDomain);
-    return pool.expectedNanos(priority) + (remote ? REMOTE_PENALTY_NANOS : 0);
+    return pool.expectedNanos(priority, organisation) + (remote ? REMOTE_PENALTY_NANOS : 0);
   }
 
   /** Records a complete answer to a statement that was sent at {@code sentNanos}. */
--- a/core/src/main/java/org/pollenspar/core/connection/PooledDatabaseConnection.java
+++ b/core/src/main/java/org/pollenspar/core/connection/PooledDatabaseConnection.java
@@ -19,10 +19,11 @@
  *
  * <p>Invariant: one statement or one transaction uses the connection at a time. If a rollback may
  * have undone changes of the session state, the connection is reset before its next use. If an
- * answer is lost, the connection is discarded.
+ * answer is lost, the connection is discarded. All statements run for one organisation.
  */
 public final class PooledDatabaseConnection {
   private final ConnectionPool pool;
+  private final String organisation;
   private final PhysicalConnection connection;
   private final Map<String, String> values = new HashMap<>();
   private final Map<PreparedShape, String> preparedNames = new HashMap<>();
@@ -32,8 +33,10 @@
   private long lastUsedNanos;
   private @Nullable Runnable releasePermit;
 
-  PooledDatabaseConnection(ConnectionPool pool, PhysicalConnection connection) {
+  PooledDatabaseConnection(
+      ConnectionPool pool, String organisation, PhysicalConnection connection) {
     this.pool = pool;
+    this.organisation = organisation;
     this.connection = connection;
   }
 
@@ -41,6 +44,11 @@
     return pool;
   }
 
+  /** Returns the organisation that the connection belongs to. */
+  String organisation() {
+    return organisation;
+  }
+
   /** Returns whether the connection is closed, here or by the database. */
   public boolean lost() {
     return lost || !connection.usable();
--- a/core/src/main/java/org/pollenspar/core/connection/SessionTransaction.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SessionTransaction.java
@@ -213,7 +213,7 @@
         return router.primary();
       }
       GroupRouter.@Nullable StatementTarget target =
-          router.readTarget(route, lastCommitPosition, excluded);
+          router.readTarget(route, sessionState.organisation(), lastCommitPosition, excluded);
       atPrimary = target != null && target.primary();
       return target == null ? null : target.pool();
     }
--- a/core/src/main/java/org/pollenspar/core/connection/SingleStatement.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SingleStatement.java
@@ -96,7 +96,7 @@
 
   private GroupRouter.@Nullable StatementTarget choose() {
     if (!writes) {
-      return router.readTarget(route, lastCommitPosition, excluded);
+      return router.readTarget(route, sessionState.organisation(), lastCommitPosition, excluded);
     }
     @Nullable ConnectionPool primary = router.primary();
     return primary == null ? null : new GroupRouter.StatementTarget(primary, null, true);
