core, edge: each organisation has one home in each group

Cause: each home that runs statements of an organisation needs connections of that organisation, so with every host or every home serving all organisations the connections to a database don't suffice.

Change: with organisations a group has homes as soon as two hosts can be homes. OrganisationHomes assigns the organisations to them by rendezvous hashing with bounded loads; HomeSelection follows its order and avoids homes that fail, and OrganisationExecutor runs statements locally at the organisation's home. Metrics count connections that were opened or closed to make room and refusals by cause; home_of_organisations is logged when the number of organisations of a host changes. Without organisations nothing changes.

--- a/core/src/main/java/org/pollenspar/core/connection/ForwardedStatement.java
+++ b/core/src/main/java/org/pollenspar/core/connection/ForwardedStatement.java
@@ -62,7 +62,8 @@
   }
 
   private void attempt() {
-    @Nullable Member next = abandoned ? null : executor.next(route.group(), tried);
+    @Nullable Member next =
+        abandoned ? null : executor.next(route.group(), sessionState.organisation(), tried);
     if (next == null) {
       finish(
           lastRefusal != null
--- a/core/src/main/java/org/pollenspar/core/connection/ForwardedTransaction.java
+++ b/core/src/main/java/org/pollenspar/core/connection/ForwardedTransaction.java
@@ -118,7 +118,7 @@
     }
 
     private void open() {
-      @Nullable Member next = executor.next(route.group(), tried);
+      @Nullable Member next = executor.next(route.group(), sessionState.organisation(), tried);
       if (next == null) {
         fail(AnswerCode.BUSY, ForwardingExecutor.noHome(route.group()));
         return;
--- a/core/src/main/java/org/pollenspar/core/connection/ForwardingExecutor.java
+++ b/core/src/main/java/org/pollenspar/core/connection/ForwardingExecutor.java
@@ -46,8 +46,8 @@
   }
 
   /** Returns the next home to send a statement to; null if there is none or enough were tried. */
-  @Nullable Member next(String group, Set<Member> tried) {
-    return tried.size() < MAX_ATTEMPTS ? homes.next(group, tried) : null;
+  @Nullable Member next(String group, String organisation, Set<Member> tried) {
+    return tried.size() < MAX_ATTEMPTS ? homes.next(group, organisation, tried) : null;
   }
 
   static String noHome(String group) {
--- a/core/src/main/java/org/pollenspar/core/connection/HomeAssignment.java
+++ b/core/src/main/java/org/pollenspar/core/connection/HomeAssignment.java
@@ -16,6 +16,10 @@
  * transactions. The homes are chosen by {@link Rendezvous} hashing, first one in each failure
  * domain, so that forwarding seldom leaves a domain and few homes change when members come and go.
  *
+ * <p>If connections belong to organisations, two connections don't suffice for a host that serves
+ * callers of many organisations. The group then has homes as soon as two hosts can be homes, and
+ * {@link OrganisationHomes} assigns the organisations to them.
+ *
  * <p>Invariant: as long as all hosts know the same members, the connections of all homes to one
  * database are at most the limit that was divided, unless that limit is below the number of homes,
  * which is then one.
@@ -29,19 +33,31 @@
 
   private static final double CONNECTIONS_PER_SLOT = 1.5;
 
+  /** Assigns the homes of a group in a deployment without organisations. */
+  public static HomeAssignment of(
+      String group, int maxConnections, int slots, Collection<Member> members) {
+    return of(group, maxConnections, slots, members, false);
+  }
+
   /**
    * Assigns the homes of a group.
    *
    * @param maxConnections connections to each database that the homes divide
    * @param slots statements that a database runs at once
    * @param members members of the fleet, this host included; suspended ones don't become homes
+   * @param organisations whether connections belong to organisations
    */
   public static HomeAssignment of(
-      String group, int maxConnections, int slots, Collection<Member> members) {
+      String group,
+      int maxConnections,
+      int slots,
+      Collection<Member> members,
+      boolean organisations) {
     List<Member> candidates = members.stream().filter(member -> !member.suspended()).toList();
     // A host that knows no other yet must not take all connections.
     int equalShare = maxConnections / Math.max(2, members.size());
-    if (equalShare >= MIN_CONNECTIONS || candidates.size() < 2) {
+    boolean enoughForEach = equalShare >= MIN_CONNECTIONS && !organisations;
+    if (enoughForEach || candidates.size() < 2) {
       return new HomeAssignment(List.of(), Math.max(1, equalShare));
     }
     int homeShare = (int) Math.ceil(CONNECTIONS_PER_SLOT * Math.max(1, slots));
--- a/core/src/main/java/org/pollenspar/core/connection/HomeSelection.java
+++ b/core/src/main/java/org/pollenspar/core/connection/HomeSelection.java
@@ -17,11 +17,12 @@
 /**
  * Chooses the home host for each statement that this host forwards.
  *
- * <p>Homes in the own failure domain come first, the others after them; within both, the order is a
- * hash of this host's name, so that the hosts of a domain use all of its homes. A home that fails
- * is avoided: one that was silent until it answers a ping, one that takes no work or can't reach
- * the databases of a group for a short time. If all are avoided, the first is used all the same,
- * since what is avoided may have recovered.
+ * <p>The statements of an organisation go to the homes in the order of {@link OrganisationHomes}.
+ * For others, homes in the own failure domain come first, the others after them; within both, the
+ * order is a hash of this host's name, so that the hosts of a domain use all of its homes. A home
+ * that fails is avoided: one that was silent until it answers a ping, one that takes no work or
+ * can't reach the databases of a group for a short time. If all are avoided, the first is used all
+ * the same, since what is avoided may have recovered.
  *
  * <p>All methods run on one thread.
  */
@@ -35,6 +36,7 @@
   private final FleetMessages messages;
   private final Timers timers;
   private final Map<String, List<Member>> homesByGroup = new HashMap<>();
+  private final Map<String, OrganisationHomes> organisationsByGroup = new HashMap<>();
 
   /** Homes that were silent, with the incarnation that was. */
   private final Map<String, String> silent = new HashMap<>();
@@ -49,8 +51,14 @@
     this.timers = timers;
   }
 
-  /** Sets the homes of a group. */
+  /** Sets the homes of a group, where organisations have none of their own. */
   public void assign(String group, HomeAssignment assignment) {
+    assign(group, assignment, OrganisationHomes.NONE);
+  }
+
+  /** Sets the homes of a group and of the organisations in it. */
+  public void assign(String group, HomeAssignment assignment, OrganisationHomes organisations) {
+    organisationsByGroup.put(group, organisations);
     List<Member> order = new ArrayList<>(assignment.homes());
     order.removeIf(home -> home.name().equals(self.name()));
     order.sort(
@@ -60,12 +68,43 @@
     homesByGroup.put(group, List.copyOf(order));
   }
 
-  /** Returns the next home to try for a statement; null if all were tried. */
-  public @Nullable Member next(String group, Set<Member> tried) {
-    List<Member> homes = homesByGroup.getOrDefault(group, List.of());
+  /**
+   * Returns whether statements of an organisation run on this host now, since it is the first home
+   * of the organisation that isn't avoided.
+   *
+   * @param home whether this host is a home of the group, which runs statements of organisations
+   *     without homes itself
+   */
+  boolean runsHere(String group, String organisation, boolean home) {
+    @Nullable List<Member> order = ownOrder(group, organisation);
+    if (order == null) {
+      return home;
+    }
+    for (Member each : order) {
+      if (each.name().equals(self.name())) {
+        return true;
+      }
+      if (!avoided(group, each)) {
+        return false;
+      }
+    }
+    return false;
+  }
+
+  private @Nullable List<Member> ownOrder(String group, String organisation) {
+    return organisationsByGroup.getOrDefault(group, OrganisationHomes.NONE).order(organisation);
+  }
+
+  /**
+   * Returns the next home to try for a statement of an organisation; null if all were tried. This
+   * host is never returned.
+   */
+  public @Nullable Member next(String group, String organisation, Set<Member> tried) {
+    @Nullable List<Member> ownOrder = ownOrder(group, organisation);
+    List<Member> homes = ownOrder != null ? ownOrder : homesByGroup.getOrDefault(group, List.of());
     @Nullable Member fallback = null;
     for (Member home : homes) {
-      if (tried.contains(home)) {
+      if (tried.contains(home) || home.name().equals(self.name())) {
         continue;
       }
       if (!avoided(group, home)) {
--- a/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
@@ -252,7 +252,7 @@
     dependencies.metrics().gauge("brokered_databases", brokers::size);
     dependencies.metrics().gauge("permits_granted", brokers::grants);
     dependencies.metrics().gauge("permits_refused", brokers::refusals);
-    dependencies.metrics().gauge("home_groups", homes::homeGroups);
+    homes.registerGauges(dependencies.metrics());
   }
 
   private void runHousekeeping() {
--- a/edge/src/main/java/org/pollenspar/edge/process/HomeAssigner.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/HomeAssigner.java
@@ -1,18 +1,24 @@
 package org.pollenspar.edge.process;
 
 import java.util.HashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.function.Supplier;
+import java.util.function.ToLongFunction;
 import org.jspecify.annotations.Nullable;
+import org.pollenspar.core.connection.ConnectionPoolCounts;
 import org.pollenspar.core.connection.ConnectionShare;
 import org.pollenspar.core.connection.ForwardingExecutor;
 import org.pollenspar.core.connection.GroupRouter;
 import org.pollenspar.core.connection.HomeAssignment;
 import org.pollenspar.core.connection.LocalExecutor;
+import org.pollenspar.core.connection.OrganisationExecutor;
+import org.pollenspar.core.connection.OrganisationHomes;
 import org.pollenspar.core.connection.StatementExecutor;
 import org.pollenspar.core.process.FleetTable;
 import org.pollenspar.core.process.Member;
 import org.pollenspar.core.process.Timers;
+import org.pollenspar.core.version.Organisations;
 import org.pollenspar.core.version.RouteTable;
 
 /**
@@ -42,6 +48,7 @@
   private final Timers timers;
   private final EventLog log;
   private final Map<String, HomeAssignment> assignments = new HashMap<>();
+  private final Map<String, OrganisationHomes> organisationHomes = new HashMap<>();
   private boolean joining = true;
   private boolean scheduled;
 
@@ -101,11 +108,18 @@
 
   private void assign(GroupRouter router, int maxConnections) {
     int established = (int) (ESTABLISHED_FRACTION * maxConnections);
+    String group = router.group();
+    @Nullable Organisations organisations = routes.get().organisations();
     HomeAssignment assignment =
         HomeAssignment.of(
-            router.group(), established, directory.slots(router.group()), table.members());
-    logChange(router.group(), assignments.put(router.group(), assignment), assignment);
-    forwarding.homes().assign(router.group(), assignment);
+            group, established, directory.slots(group), table.members(), organisations != null);
+    OrganisationHomes ofOrganisations =
+        organisations == null
+            ? OrganisationHomes.NONE
+            : OrganisationHomes.of(group, assignment.homes(), organisations.all());
+    logChange(group, assignments.put(group, assignment), assignment);
+    logOrganisations(group, organisationHomes.put(group, ofOrganisations), ofOrganisations);
+    forwarding.homes().assign(group, assignment, ofOrganisations);
     router.share(share(assignment, maxConnections - established));
   }
 
@@ -135,6 +149,18 @@
     }
   }
 
+  private void logOrganisations(
+      String group, @Nullable OrganisationHomes previous, OrganisationHomes now) {
+    int before = previous == null ? 0 : previous.organisationsAt(self.name());
+    int here = now.organisationsAt(self.name());
+    if (before != here) {
+      log.changed(
+          "home_of_organisations",
+          group,
+          here + " of " + now.orders().size() + " organisations, previously " + before);
+    }
+  }
+
   /** Returns what runs callers' statements of a group; null if the group is unknown. */
   @Nullable StatementExecutor executor(String group) {
     @Nullable GroupRouter router = routers.get(group);
@@ -143,6 +169,9 @@
       return null;
     }
     boolean home = assignment == null || assignment.includes(self.name());
+    if (assignment != null && !assignment.everyHost() && routes.get().organisations() != null) {
+      return new OrganisationExecutor(router, forwarding, home);
+    }
     return home ? new LocalExecutor(router) : forwarding;
   }
 
@@ -150,4 +179,29 @@
   int homeGroups() {
     return (int) assignments.values().stream().filter(each -> each.includes(self.name())).count();
   }
+
+  /** Returns the number of pairs of a group and an organisation whose home is this host. */
+  int homeOrganisations() {
+    return organisationHomes.values().stream()
+        .mapToInt(each -> each.organisationsAt(self.name()))
+        .sum();
+  }
+
+  /** Registers gauges of the homes and of the connections to the databases of all groups. */
+  void registerGauges(EdgeMetrics metrics) {
+    metrics.gauge("home_groups", this::homeGroups);
+    metrics.gauge("home_organisations", this::homeOrganisations);
+    metrics.gauge("connections_opened", () -> sum(ConnectionPoolCounts::opened));
+    metrics.gauge(
+        "connections_closed_to_make_room", () -> sum(ConnectionPoolCounts::closedToMakeRoom));
+    for (ConnectionPoolCounts.Refusal cause : ConnectionPoolCounts.Refusal.values()) {
+      metrics.gauge(
+          "connection_requests_refused{cause=\"" + cause.name().toLowerCase(Locale.ROOT) + "\"}",
+          () -> sum(counts -> counts.refusals(cause)));
+    }
+  }
+
+  private long sum(ToLongFunction<ConnectionPoolCounts> value) {
+    return routers.values().stream().map(GroupRouter::counts).mapToLong(value).sum();
+  }
 }
