core: tests of connections and homes by organisation, and what they found

Cause, by random histories of one pool without a network: - Two organisations that waited for one place closed each other's new connection before it had served a request, without end. - A request queued during a backoff by an organisation without a connection was not served after it, when the last connection was closed or another backoff had begun. Without organisations the same could happen after the pool's last connection was closed during a backoff.

Change: a connection that its owner needs is closed only after it has been granted once. ConnectionOpening tries again after each backoff while an organisation without a connection waits. ForwardingFixture can have organisations.

--- a/core/src/main/java/org/pollenspar/core/connection/ConnectionDistribution.java
+++ b/core/src/main/java/org/pollenspar/core/connection/ConnectionDistribution.java
@@ -19,7 +19,9 @@
  * recently used idle connection that its owner doesn't need is closed. One that the owner needs is
  * closed only for a request of at least the same rank, whose organisation holds no connection or at
  * least two fewer. A difference of one would be reversed by the next use, and each reversal costs
- * the database an opened connection.
+ * the database an opened connection. For the same reason, a new connection isn't closed before it
+ * has served a request of its owner. Else, organisations that wait for a turn of the rate limiter
+ * could take one place from each other without end.
  *
  * <p>Invariant: while requests of one rank wait, each connection that becomes free goes to its own
  * organisation or to one that holds fewer. So the connections become equal in number, and an
@@ -101,21 +103,30 @@
     }
     @Nullable PooledDatabaseConnection unneeded =
         connections.leastRecentlyUsed(
-            owner -> !owner.equals(organisation) && connections.idle(owner) > queue.waiting(owner));
+            each -> {
+              String owner = each.organisation();
+              return !owner.equals(organisation) && connections.idle(owner) > queue.waiting(owner);
+            });
     return unneeded != null
         ? unneeded
-        : connections.leastRecentlyUsed(
-            owner -> !owner.equals(organisation) && mayTakeFrom(owner, organisation));
+        : connections.leastRecentlyUsed(each -> mayTake(each, organisation));
   }
 
-  private boolean mayTakeFrom(String owner, String organisation) {
+  /** Returns whether a connection that its owner needs may be closed for an organisation. */
+  private boolean mayTake(PooledDatabaseConnection connection, String organisation) {
+    String owner = connection.organisation();
     int rank = queue.rankAt(organisation, connections.opening(organisation));
     int ownerRank = queue.rankAt(owner, 0);
+    if (owner.equals(organisation)) {
+      return false;
+    }
     if (rank < 0 && ownerRank >= 0) {
       // A control command doesn't wait for statements of callers.
       return true;
     }
     int held = connections.held(organisation);
-    return rank <= ownerRank && (held == 0 || held + 1 < connections.held(owner));
+    return connection.wasGranted()
+        && rank <= ownerRank
+        && (held == 0 || held + 1 < connections.held(owner));
   }
 }
--- a/core/src/main/java/org/pollenspar/core/connection/ConnectionOpening.java
+++ b/core/src/main/java/org/pollenspar/core/connection/ConnectionOpening.java
@@ -72,6 +72,9 @@
         }
       }
     }
+    if (backoff.active() && !pool.retired()) {
+      retryAfterBackoff();
+    }
   }
 
   private boolean openFor(String organisation) {
@@ -96,12 +99,14 @@
   }
 
   /**
-   * Tries again when the backoff has ended, for a request that was queued during the backoff. An
-   * organisation without a connection isn't served by the next release, as others are.
+   * Tries again when the backoff has ended, if an organisation without a connection waits. It isn't
+   * served by the next release, as others are, and there may be none if all connections were closed
+   * since the failed attempt.
    */
-  void retryAfterBackoff(String organisation) {
-    boolean needed = connections.size() > 0 && connections.held(organisation) == 0;
-    if (needed && backoff.active() && !retryScheduled) {
+  private void retryAfterBackoff() {
+    boolean needed =
+        distribution.lackingConnections().stream().anyMatch(each -> connections.held(each) == 0);
+    if (needed && !retryScheduled) {
       retryScheduled = true;
       timers.after(
           backoff.remainingMillis(),
--- a/core/src/main/java/org/pollenspar/core/connection/ConnectionPool.java
+++ b/core/src/main/java/org/pollenspar/core/connection/ConnectionPool.java
@@ -228,7 +228,6 @@
     queue.add(request);
     opening.openIfNeeded();
     scheduleRateLimitPoll();
-    opening.retryAfterBackoff(request.organisation());
   }
 
   private void refuse(ConnectionRequest request, ConnectionPoolCounts.Refusal cause, String state) {
--- a/core/src/main/java/org/pollenspar/core/connection/PooledConnections.java
+++ b/core/src/main/java/org/pollenspar/core/connection/PooledConnections.java
@@ -101,6 +101,7 @@
     }
     if (taken != null) {
       idle.remove(taken);
+      taken.markGranted();
       Counts counts = counts(organisation);
       counts.idle--;
       counts.latestGrant = ++grants;
@@ -108,14 +109,13 @@
     return taken;
   }
 
-  /**
-   * Returns the least recently used idle connection of the accepted organisations; null if none.
-   */
-  @Nullable PooledDatabaseConnection leastRecentlyUsed(Predicate<String> accepted) {
+  /** Returns the least recently used idle connection that is accepted; null if there is none. */
+  @Nullable PooledDatabaseConnection leastRecentlyUsed(
+      Predicate<PooledDatabaseConnection> accepted) {
     @Nullable PooledDatabaseConnection found = null;
     for (PooledDatabaseConnection connection : idle) {
       boolean older = found == null || connection.lastUsedNanos() - found.lastUsedNanos() <= 0;
-      if (older && accepted.test(connection.organisation())) {
+      if (older && accepted.test(connection)) {
         found = connection;
       }
     }
--- a/core/src/main/java/org/pollenspar/core/connection/PooledDatabaseConnection.java
+++ b/core/src/main/java/org/pollenspar/core/connection/PooledDatabaseConnection.java
@@ -31,6 +31,7 @@
   private boolean stateUncertain;
   private boolean lost;
   private long lastUsedNanos;
+  private boolean granted;
   private @Nullable Runnable releasePermit;
 
   PooledDatabaseConnection(
@@ -62,6 +63,15 @@
     lastUsedNanos = nowNanos;
   }
 
+  /** Returns whether the connection was granted to a request since it was opened. */
+  boolean wasGranted() {
+    return granted;
+  }
+
+  void markGranted() {
+    granted = true;
+  }
+
   /** Sets the action that releases the permit under which the next statement runs. */
   void holdPermit(Runnable release) {
     releasePermit = release;
--- a/core/src/test/java/org/pollenspar/core/connection/ForwardingFixture.java
+++ b/core/src/test/java/org/pollenspar/core/connection/ForwardingFixture.java
@@ -9,6 +9,7 @@
 import java.util.Objects;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
 import org.pollenspar.core.process.Confirmation;
 import org.pollenspar.core.process.FakeTime;
 import org.pollenspar.core.process.FleetMessages;
@@ -19,6 +20,7 @@
 import org.pollenspar.core.request.PreparedShape;
 import org.pollenspar.core.request.SessionRequest;
 import org.pollenspar.core.request.SessionStatement;
+import org.pollenspar.core.version.Organisations;
 import org.pollenspar.core.version.Route;
 import org.pollenspar.core.version.RouteKind;
 import org.pollenspar.core.version.RouteTable;
@@ -42,9 +44,19 @@
       Function<FakeTime, PhysicalConnection.Opener> opener,
       Collection<DatabaseEntry> entries,
       Map<String, Route> routes) {
+    this(opener, entries, routes, null);
+  }
+
+  /** Creates the fixture with organisations, which are null if callers need no keys. */
+  ForwardingFixture(
+      Function<FakeTime, PhysicalConnection.Opener> opener,
+      Collection<DatabaseEntry> entries,
+      Map<String, Route> routes,
+      @Nullable Organisations organisations) {
     this.databases = opener.apply(time);
     this.entries = entries;
-    this.routes = new RouteTable(1, routes, Map.of(GROUP, new RouteTable.Group(49, 0)), 3_000);
+    this.routes =
+        new RouteTable(1, routes, Map.of(GROUP, new RouteTable.Group(49, 0)), 3_000, organisations);
   }
 
   /** Returns the routes "till", "own" and "old", one of each kind. */
@@ -98,24 +110,40 @@
       context =
           new SessionContext(
               () -> routes,
-              group -> assignment.includes(self.name()) ? new LocalExecutor(router) : forwarding,
+              group -> executor(),
               time,
               time,
               (request, route, pool, attempts, answer) -> {});
     }
 
+    private StatementExecutor executor() {
+      boolean home = assignment.includes(self.name());
+      if (routes.organisations() != null) {
+        return new OrganisationExecutor(router, forwarding, home);
+      }
+      return home ? new LocalExecutor(router) : forwarding;
+    }
+
     void confirm() {
       confirmation.renewed(confirmation.now());
     }
 
     void assign(HomeAssignment newAssignment) {
+      assign(newAssignment, OrganisationHomes.NONE);
+    }
+
+    void assign(HomeAssignment newAssignment, OrganisationHomes organisations) {
       assignment = newAssignment;
-      selection.assign(GROUP, newAssignment);
+      selection.assign(GROUP, newAssignment, organisations);
       router.share(newAssignment.includes(self.name()) ? newAssignment.connections() : 1);
     }
 
     Caller caller(String database) {
-      return new Caller(this, database);
+      return caller(database, "");
+    }
+
+    Caller caller(String database, String key) {
+      return new Caller(this, database, key);
     }
 
     /** Ends all connections that other hosts have to this one. */
@@ -279,8 +307,8 @@
     final CallerSession session;
     private int next;
 
-    Caller(HostUnderTest host, String database) {
-      session = new CallerSession(host.context, database, "", this);
+    Caller(HostUnderTest host, String database, String key) {
+      session = new CallerSession(host.context, database, key, this);
     }
 
     @Override
