core: the choice of the member that acts for a failure domain is a class

SharedRenewal chose the member that renews the shared lease; the shared watch needs the same choice for another task. DomainDelegate holds it. The choice for renewals is unchanged: same members, same hashed name.

--- a/core/src/main/java/org/pollenspar/core/process/SharedRenewal.java
+++ b/core/src/main/java/org/pollenspar/core/process/SharedRenewal.java
@@ -40,12 +40,11 @@
   private static final long AVOIDANCE_MS = 5_000;
 
   private final CoordinationStore store;
-  private final FleetTable table;
+  private final DomainDelegate delegate;
   private final FleetMessages messages;
   private final Timers timers;
   private final Clocks clocks;
   private final Member self;
-  private final int minMembers;
   private final Map<Long, List<Consumer<CoordinationStore.Reply>>> gathered = new HashMap<>();
   private final Avoidance avoided;
   private long lastRenewalNanos;
@@ -65,12 +64,11 @@
       Member self,
       int minMembers) {
     this.store = store;
-    this.table = table;
+    this.delegate = new DomainDelegate(table, self, minMembers, "renewal");
     this.messages = messages;
     this.timers = timers;
     this.clocks = clocks;
     this.self = self;
-    this.minMembers = minMembers;
     this.avoided = new Avoidance(clocks, AVOIDANCE_MS);
   }
 
@@ -80,7 +78,7 @@
    * @param urgent whether the host can't wait for other members, and renews itself
    */
   public void renew(long lease, boolean urgent, Consumer<CoordinationStore.Reply> done) {
-    @Nullable Member renewing = urgent ? null : renewingMember();
+    @Nullable Member renewing = urgent ? null : delegate.choose(avoided::contains);
     if (renewing == null) {
       store.renewLease(lease, done);
     } else if (renewing.name().equals(self.name())) {
@@ -120,26 +118,6 @@
     return renewedBefore ? Math.max(GATHERING_MS, DISTANCE_MS - sinceLast) : GATHERING_MS;
   }
 
-  /** Returns the member that renews for this host's domain; null if each host renews itself. */
-  private @Nullable Member renewingMember() {
-    Map<String, Member> candidates = new HashMap<>();
-    int members = 0;
-    for (Member member : table.members()) {
-      if (member.domain().equals(self.domain())) {
-        members++;
-        if (!member.suspended() && !avoided.contains(member.name())) {
-          candidates.put(member.name(), member);
-        }
-      }
-    }
-    if (members < minMembers) {
-      return null;
-    }
-    @Nullable String name =
-        Rendezvous.first("renewal of " + self.domain(), List.copyOf(candidates.keySet()));
-    return name == null ? null : candidates.get(name);
-  }
-
   /** A request to another member, which this host replaces by a renewal of its own if it fails. */
   private final class Request {
     private final Member member;
