core, edge, platform: one host watches the store for a large failure domain

Cause: each host watched the store and each change woke all watches.

Change: in failure domains of 8 members or more, one member (SharedWatch, DomainDelegate) watches the store and answers the long polls of the others from a bounded history (WatchHistory). A host without a positive answer watches the store itself from the same revision for 5 s. The read of all keys, the watch after it and the new read after a gap move from StoreWatcher to StoreFollower in core; StoreWatcher only translates values. A watch call now names its wait: half of apply_ms for a host alone as before, a quarter in a shared watch. Metrics and the log lines watch_role and watch_fallback show who watches.

Tests: SharedWatchTest runs 12 hosts without faults: one watch per event for all hosts, each event within 30 ms. 150 random histories with paused, killed, cut-off, leaving and added hosts, dropped history and silent watches: no event skipped, longest delay of an undisturbed host 1,990 ms with apply_ms 3,000. With WatchHistory.completeAfter always true, events are skipped and two tests fail. WatchMessagesTest sends polls over sockets; SharedWatchEndToEndTest runs 8 processes and kills the watcher.

FleetMessages.watch and the wait of CoordinationStore.watch are added to the existing stand-ins. SharedRenewalTest uses the new UnusedStore and UnusedMessages instead of methods of its own that throw; its checks are unchanged.

--- a/core/src/main/java/org/pollenspar/core/process/CoordinationStore.java
+++ b/core/src/main/java/org/pollenspar/core/process/CoordinationStore.java
@@ -52,8 +52,13 @@
   /** Reads all keys below a prefix, linearizably. */
   void range(String prefix, Consumer<Reply> done);
 
-  /** Waits for changes below a prefix after a revision. */
-  void watch(String prefix, long afterRevision, Consumer<Reply> done);
+  /**
+   * Waits for changes below a prefix after a revision.
+   *
+   * @param waitMillis how long the store may wait for changes before it answers without any. A
+   *     watch that the store keeps without delivering changes is noticed only then.
+   */
+  void watch(String prefix, long afterRevision, long waitMillis, Consumer<Reply> done);
 
   /** Changes keys if all conditions hold. */
   void transact(
--- a/core/src/main/java/org/pollenspar/core/process/FleetMessages.java
+++ b/core/src/main/java/org/pollenspar/core/process/FleetMessages.java
@@ -27,6 +27,13 @@
    */
   void renew(Member member, long lease, Consumer<Boolean> done);
 
+  /**
+   * Asks the member that watches the store for this host's failure domain for the events after a
+   * revision; see {@link SharedWatch#poll}. The status is UNKNOWN if the member doesn't answer.
+   */
+  void watch(
+      Member member, long afterRevision, long waitMillis, Consumer<CoordinationStore.Reply> done);
+
   /**
    * Asks a member whether a database answers it. Passes false also if the member doesn't answer.
    */
--- a/core/src/test/java/org/pollenspar/core/connection/ForwardingFixture.java
+++ b/core/src/test/java/org/pollenspar/core/connection/ForwardingFixture.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.pollenspar.core.process.Confirmation;
+import org.pollenspar.core.process.CoordinationStore;
 import org.pollenspar.core.process.FakeTime;
 import org.pollenspar.core.process.FleetMessages;
 import org.pollenspar.core.process.Member;
@@ -157,6 +158,15 @@
       throw new UnsupportedOperationException();
     }
 
+    @Override
+    public void watch(
+        Member member,
+        long afterRevision,
+        long waitMillis,
+        Consumer<CoordinationStore.Reply> done) {
+      throw new UnsupportedOperationException();
+    }
+
     @Override
     public void renew(Member member, long lease, Consumer<Boolean> done) {
       throw new UnsupportedOperationException();
--- a/core/src/test/java/org/pollenspar/core/process/ConfirmationRenewerTest.java
+++ b/core/src/test/java/org/pollenspar/core/process/ConfirmationRenewerTest.java
@@ -30,6 +30,15 @@
 
   /** Messages that no member answers. */
   private static final class NoAnswers implements FleetMessages {
+    @Override
+    public void watch(
+        Member member,
+        long afterRevision,
+        long waitMillis,
+        Consumer<CoordinationStore.Reply> done) {
+      throw new UnsupportedOperationException();
+    }
+
     @Override
     public void renew(Member member, long lease, Consumer<Boolean> done) {
       done.accept(false);
--- a/core/src/test/java/org/pollenspar/core/process/FailoverCoordinatorTest.java
+++ b/core/src/test/java/org/pollenspar/core/process/FailoverCoordinatorTest.java
@@ -72,6 +72,15 @@
 
   /** A fleet of this host alone. */
   private static final class NoMembers implements FleetMessages {
+    @Override
+    public void watch(
+        Member member,
+        long afterRevision,
+        long waitMillis,
+        Consumer<CoordinationStore.Reply> done) {
+      throw new UnsupportedOperationException();
+    }
+
     @Override
     public void renew(Member member, long lease, Consumer<Boolean> done) {
       done.accept(false);
--- a/core/src/test/java/org/pollenspar/core/process/FaultyTransactions.java
+++ b/core/src/test/java/org/pollenspar/core/process/FaultyTransactions.java
@@ -65,8 +65,8 @@
   }
 
   @Override
-  public void watch(String prefix, long afterRevision, Consumer<Reply> done) {
-    target.watch(prefix, afterRevision, done);
+  public void watch(String prefix, long afterRevision, long waitMillis, Consumer<Reply> done) {
+    target.watch(prefix, afterRevision, waitMillis, done);
   }
 
   @Override
--- a/core/src/test/java/org/pollenspar/core/process/FleetModel.java
+++ b/core/src/test/java/org/pollenspar/core/process/FleetModel.java
@@ -184,6 +184,7 @@
       connection.watch(
           ControlKeys.PREFIX,
           revision,
+          0,
           reply -> {
             if (reply.done() && renewer.loaded()) {
               reply.items().forEach(table::apply);
@@ -422,6 +423,15 @@
       ask(member, other -> {}, done);
     }
 
+    @Override
+    public void watch(
+        Member member,
+        long afterRevision,
+        long waitMillis,
+        Consumer<CoordinationStore.Reply> done) {
+      throw new UnsupportedOperationException();
+    }
+
     @Override
     public void renew(Member member, long lease, Consumer<Boolean> done) {
       ModelHost other = host(member);
--- a/core/src/test/java/org/pollenspar/core/process/ModelStore.java
+++ b/core/src/test/java/org/pollenspar/core/process/ModelStore.java
@@ -186,7 +186,7 @@
     }
 
     @Override
-    public void watch(String prefix, long afterRevision, Consumer<Reply> done) {
+    public void watch(String prefix, long afterRevision, long waitMillis, Consumer<Reply> done) {
       call(
           () ->
               reply(
--- a/core/src/test/java/org/pollenspar/core/process/PrimaryChangeScenario.java
+++ b/core/src/test/java/org/pollenspar/core/process/PrimaryChangeScenario.java
@@ -105,6 +105,15 @@
 
   /** Members that acknowledge each revocation at once, except at the address "s". */
   final class Members implements FleetMessages {
+    @Override
+    public void watch(
+        Member member,
+        long afterRevision,
+        long waitMillis,
+        Consumer<CoordinationStore.Reply> done) {
+      throw new UnsupportedOperationException();
+    }
+
     @Override
     public void renew(Member member, long lease, Consumer<Boolean> done) {
       done.accept(false);
--- a/core/src/test/java/org/pollenspar/core/process/ReplicaSetRecorderTest.java
+++ b/core/src/test/java/org/pollenspar/core/process/ReplicaSetRecorderTest.java
@@ -151,6 +151,15 @@
       done.accept(false);
     }
 
+    @Override
+    public void watch(
+        Member member,
+        long afterRevision,
+        long waitMillis,
+        Consumer<CoordinationStore.Reply> done) {
+      throw new UnsupportedOperationException();
+    }
+
     @Override
     public void renew(Member member, long lease, Consumer<Boolean> done) {
       done.accept(false);
--- a/core/src/test/java/org/pollenspar/core/process/SharedRenewalTest.java
+++ b/core/src/test/java/org/pollenspar/core/process/SharedRenewalTest.java
@@ -29,7 +29,7 @@
   private boolean membersAnswer = true;
 
   /** A store on which only renewals are used; each is answered after 4 ms. */
-  private final class Store implements CoordinationStore {
+  private final class Store extends UnusedStore {
     @Override
     public void renewLease(long lease, Consumer<Reply> done) {
       callTimes.add(now());
@@ -39,36 +39,10 @@
         unanswered.add(done);
       }
     }
-
-    @Override
-    public void range(String prefix, Consumer<Reply> done) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public void watch(String prefix, long afterRevision, Consumer<Reply> done) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public void transact(
-        List<Expectation> expected, List<Put> puts, List<String> deletes, Consumer<Reply> done) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public void grantLease(long ttlMillis, Consumer<Reply> done) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public void endLease(long lease, Consumer<Reply> done) {
-      throw new UnsupportedOperationException();
-    }
   }
 
   /** Messages that arrive after 1 ms each way. */
-  private final class Messages implements FleetMessages {
+  private final class Messages extends UnusedMessages {
     @Override
     public void renew(Member member, long lease, Consumer<Boolean> done) {
       if (membersAnswer) {
@@ -80,26 +54,6 @@
                     .renewForMember(lease, renewed -> time.after(1, () -> done.accept(renewed))));
       }
     }
-
-    @Override
-    public void revoke(Member member, String group, long revision, Consumer<Boolean> done) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public void ping(Member member, Consumer<Boolean> done) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public void confirmsStoreOutage(Member member, long lease, Consumer<Boolean> done) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public void reaches(Member member, String group, String database, Consumer<Boolean> done) {
-      throw new UnsupportedOperationException();
-    }
   }
 
   private long now() {
--- a/edge/src/main/java/org/pollenspar/edge/connection/FleetChannel.java
+++ b/edge/src/main/java/org/pollenspar/edge/connection/FleetChannel.java
@@ -278,7 +278,7 @@
   protected void channelRead0(ChannelHandlerContext active, FleetEnvelope message) {
     lastReadNanos = System.nanoTime();
     switch (message.getBodyCase()) {
-      case ACKNOWLEDGEMENT, STORE_ANSWER -> completeRequest(message);
+      case ACKNOWLEDGEMENT, STORE_ANSWER, WATCH_ANSWER -> completeRequest(message);
       case PING -> acknowledge(active, message, true);
       case REVOKE ->
           handler.revoke(
@@ -294,6 +294,16 @@
           acknowledge(active, message, handler.confirmsStoreOutage(message.getOutage().getLease()));
       case RENEW ->
           handler.renew(message.getRenew().getLease(), done -> acknowledge(active, message, done));
+      case WATCH_REQUEST ->
+          handler.watch(
+              message.getWatchRequest().getAfterRevision(),
+              message.getWatchRequest().getWaitMs(),
+              reply ->
+                  active.writeAndFlush(
+                      FleetEnvelope.newBuilder()
+                          .setRequestId(message.getRequestId())
+                          .setWatchAnswer(WatchCodec.encode(reply))
+                          .build()));
       case STORE_CALL -> forwardStoreCall(active, message);
       case PERMIT_REQUEST -> new PeerPermitRequest(active, message).submit();
       case PERMIT_END -> releasePermit(message.getRequestId(), message.getPermitEnd().getDelayMs());
--- a/edge/src/main/java/org/pollenspar/edge/connection/FleetRequestHandler.java
+++ b/edge/src/main/java/org/pollenspar/edge/connection/FleetRequestHandler.java
@@ -3,7 +3,9 @@
 import java.util.function.Consumer;
 import org.pollenspar.core.connection.ForwardedWork;
 import org.pollenspar.core.connection.SlotPermitRequest;
+import org.pollenspar.core.process.CoordinationStore;
 import org.pollenspar.core.process.FleetMessages;
+import org.pollenspar.core.process.SharedWatch;
 
 /**
  * Executes the requests that other members send to this host. All methods are called on the event
@@ -24,6 +26,9 @@
   /** Renews the shared lease for another member; see {@link FleetMessages#renew}. */
   void renew(long lease, Consumer<Boolean> done);
 
+  /** Passes the events of the store to another member; see {@link SharedWatch#poll}. */
+  void watch(long afterRevision, long waitMillis, Consumer<CoordinationStore.Reply> done);
+
   /**
    * Returns whether the store doesn't serve this host, this host's last confirmation came from the
    * given shared lease, and it has no primary change in progress.
--- a/edge/src/main/java/org/pollenspar/edge/connection/FleetTransport.java
+++ b/edge/src/main/java/org/pollenspar/edge/connection/FleetTransport.java
@@ -27,6 +27,7 @@
 import org.pollenspar.core.connection.DatabaseEntry;
 import org.pollenspar.core.connection.HomeChannel;
 import org.pollenspar.core.connection.SlotPermitRequest;
+import org.pollenspar.core.process.CoordinationStore;
 import org.pollenspar.core.process.FleetMessages;
 import org.pollenspar.core.process.Member;
 import org.pollenspar.wire.fleet.FleetEnvelope;
@@ -36,6 +37,7 @@
 import org.pollenspar.wire.fleet.RenewRequest;
 import org.pollenspar.wire.fleet.RevokeRequest;
 import org.pollenspar.wire.fleet.StoreCall;
+import org.pollenspar.wire.fleet.WatchRequest;
 
 /**
  * Sends requests to other members and accepts their connections.
@@ -60,6 +62,12 @@
    */
   private static final int RENEWAL_TIMEOUT_MS = 5_000;
 
+  /**
+   * Added to the wait of a poll of the shared watch. Longer than the wait after which the poll is
+   * given up, because a timeout here closes the connection, which may carry statements.
+   */
+  private static final int WATCH_MARGIN_MS = 4_000;
+
   /**
    * Added to the timeout of a call that a member makes for this host, for the messages between the
    * two hosts: the member reports its own timeout, and a connection is closed only if that report
@@ -137,6 +145,25 @@
     ask(member, FleetEnvelope.newBuilder().setRenew(request), RENEWAL_TIMEOUT_MS, done);
   }
 
+  @Override
+  public void watch(
+      Member member, long afterRevision, long waitMillis, Consumer<CoordinationStore.Reply> done) {
+    WatchRequest request =
+        WatchRequest.newBuilder()
+            .setAfterRevision(afterRevision)
+            .setWaitMs((int) waitMillis)
+            .build();
+    send(
+        member.address(),
+        FleetEnvelope.newBuilder().setWatchRequest(request),
+        (int) waitMillis + WATCH_MARGIN_MS,
+        answer ->
+            done.accept(
+                answer == null || !answer.hasWatchAnswer()
+                    ? WatchCodec.NO_ANSWER
+                    : WatchCodec.decode(answer.getWatchAnswer())));
+  }
+
   @Override
   public void reaches(Member member, String groupName, String database, Consumer<Boolean> done) {
     ReachRequest request =
--- a/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
@@ -60,10 +60,10 @@
   private static final long JOINING_MS = 3_500;
 
   /**
-   * Members of a failure domain from which on one of them renews the shared lease for all. With
-   * fewer, the calls that it saves are few, and each host stands alone.
+   * Members of a failure domain from which on one of them renews the shared lease and one watches
+   * the store for all. With fewer, the calls that it saves are few, and each host stands alone.
    */
-  private static final int SHARED_RENEWAL_MIN_MEMBERS = 8;
+  public static final int SHARED_TASKS_MIN_MEMBERS = 8;
 
   private static final long HOUSEKEEPING_INTERVAL_MS = 2_000;
 
@@ -201,7 +201,7 @@
         dependencies.timers(),
         dependencies.clocks(),
         dependencies.self(),
-        SHARED_RENEWAL_MIN_MEMBERS);
+        SHARED_TASKS_MIN_MEMBERS);
   }
 
   private BrokerClient brokerClient() {
