--- a/core/src/test/java/org/pollenspar/core/connection/ForwardingFixture.java
+++ b/core/src/test/java/org/pollenspar/core/connection/ForwardingFixture.java
@@ -11,6 +11,7 @@
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 import org.pollenspar.core.process.Confirmation;
+import org.pollenspar.core.process.CoordinationStore;
 import org.pollenspar.core.process.FakeTime;
 import org.pollenspar.core.process.FleetMessages;
 import org.pollenspar.core.process.Member;
@@ -185,6 +186,15 @@
       throw new UnsupportedOperationException();
     }
 
+    @Override
+    public void watch(
+        Member member,
+        long afterRevision,
+        long waitMillis,
+        Consumer<CoordinationStore.Reply> done) {
+      throw new UnsupportedOperationException();
+    }
+
     @Override
     public void renew(Member member, long lease, Consumer<Boolean> done) {
       throw new UnsupportedOperationException();
