--- a/core/src/main/java/org/pollenspar/core/connection/CallerSession.java
+++ b/core/src/main/java/org/pollenspar/core/connection/CallerSession.java
@@ -113,6 +113,11 @@
     }
   }
 
+  /** Returns the approximate number of bytes that the session's state and key take. */
+  public long stateBytes() {
+    return key.length() + sessionState.bytes();
+  }
+
   /** Returns whether no statement runs or waits and no transaction is open. */
   public boolean idle() {
     return current == null && queued.isEmpty() && transaction == null;
--- a/core/src/main/java/org/pollenspar/core/connection/SessionState.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SessionState.java
@@ -12,10 +12,16 @@
  * organisation for which statements run. A connection to a database belongs to one organisation.
  */
 public final class SessionState {
+  /** Approximate size of an entry of a map with its two texts, without their characters. */
+  private static final int ENTRY_BYTES = 128;
+
   private final Map<String, String> values = new HashMap<>();
   private final Map<String, PreparedShape> prepared = new HashMap<>();
   private String organisation = RouteTable.NO_ORGANISATION;
 
+  /** Characters of all names, values and shapes. */
+  private long size;
+
   /** Returns the organisation for which statements run now. */
   public String organisation() {
     return organisation;
@@ -32,17 +38,28 @@
 
   /** Replaces all session values. */
   void replaceValues(Map<String, String> newValues) {
+    values.forEach((name, value) -> size -= sizeOf(name, value));
     values.clear();
-    values.putAll(newValues);
+    newValues.forEach(this::set);
+  }
+
+  /** Returns the approximate number of bytes that the state takes. */
+  public long bytes() {
+    return size + (long) ENTRY_BYTES * (values.size() + prepared.size());
+  }
+
+  private static long sizeOf(String name, @Nullable String content) {
+    return content == null ? 0 : (long) name.length() + content.length();
   }
 
   public void set(String name, String value) {
-    values.put(name, value);
+    size += sizeOf(name, value) - sizeOf(name, values.put(name, value));
   }
 
   /** Adds a prepared statement, which replaces an earlier one of the same name. */
   public void prepare(String name, PreparedShape shape) {
-    prepared.put(name, shape);
+    size += sizeOf(name, shape.shape());
+    removed(name, prepared.put(name, shape));
   }
 
   /** Returns a prepared statement; null if the name is unknown. */
@@ -68,6 +85,13 @@
 
   /** Removes a prepared statement; returns whether it existed. */
   public boolean close(String name) {
-    return prepared.remove(name) != null;
+    return removed(name, prepared.remove(name));
+  }
+
+  private boolean removed(String name, @Nullable PreparedShape shape) {
+    if (shape != null) {
+      size -= sizeOf(name, shape.shape());
+    }
+    return shape != null;
   }
 }
