core: homes of the own region come before those of other regions

Cause: a host that is no home forwards to any home outside its failure domain alike, 60 ms away or 2 ms, and with fewer homes than domains a region can have none. Change: Regions holds the region of each failure domain. With one region, order and assignment are as before.

--- a/core/src/main/java/org/pollenspar/core/connection/HomeSelection.java
+++ b/core/src/main/java/org/pollenspar/core/connection/HomeSelection.java
@@ -11,17 +11,18 @@
 import org.pollenspar.core.process.Clocks;
 import org.pollenspar.core.process.FleetMessages;
 import org.pollenspar.core.process.Member;
+import org.pollenspar.core.process.Regions;
 import org.pollenspar.core.process.Rendezvous;
 import org.pollenspar.core.process.Timers;
 
 /**
  * Chooses the home host for each statement that this host forwards.
  *
- * <p>Homes in the own failure domain come first, the others after them; within both, the order is a
- * hash of this host's name, so that the hosts of a domain use all of its homes. A home that fails
- * is avoided: one that was silent until it answers a ping, one that takes no work or can't reach
- * the databases of a group for a short time. If all are avoided, the first is used all the same,
- * since what is avoided may have recovered.
+ * <p>Homes in the own failure domain come first, then those in the own region, then the others;
+ * within each, the order is a hash of this host's name, so that the hosts of a domain use all of
+ * its homes. A home that fails is avoided: one that was silent until it answers a ping, one that
+ * takes no work or can't reach the databases of a group for a short time. If all are avoided, the
+ * first is used all the same, since what is avoided may have recovered.
  *
  * <p>All methods run on one thread.
  */
@@ -32,6 +33,7 @@
   private static final long AVOIDANCE_MS = 1_000;
 
   private final Member self;
+  private final Regions regions;
   private final FleetMessages messages;
   private final Timers timers;
   private final Map<String, List<Member>> homesByGroup = new HashMap<>();
@@ -41,8 +43,15 @@
 
   private final Avoidance avoided;
 
-  /** Creates a selection that knows no homes. */
+  /** Creates a selection that knows no homes, for one region. */
   public HomeSelection(Member self, FleetMessages messages, Clocks clocks, Timers timers) {
+    this(self, Regions.ONE, messages, clocks, timers);
+  }
+
+  /** Creates a selection that knows no homes. */
+  public HomeSelection(
+      Member self, Regions regions, FleetMessages messages, Clocks clocks, Timers timers) {
+    this.regions = regions;
     this.self = self;
     this.messages = messages;
     this.avoided = new Avoidance(clocks, AVOIDANCE_MS);
@@ -54,7 +63,8 @@
     List<Member> order = new ArrayList<>(assignment.homes());
     order.removeIf(home -> home.name().equals(self.name()));
     order.sort(
-        Comparator.<Member, Boolean>comparing(home -> !home.domain().equals(self.domain()))
+        Comparator.<Member, Regions.Distance>comparing(
+                home -> regions.distance(self.domain(), home.domain()))
             .thenComparing(
                 home -> Rendezvous.weight(self.name(), home.name()), Comparator.reverseOrder()));
     homesByGroup.put(group, List.copyOf(order));
