core: a permit from a broker in another region is no sign of congestion

Cause: a permit that takes longer than 10 ms marks its database as congested for 2 s, and while it is congested each statement needs a permit. With a round trip of 60 ms to the broker, each permit keeps up the congestion that made it necessary. Change: the limit, and the time limit of the first answer (150 ms), are 100 ms longer if the broker is in another region. With several regions, the broker is chosen among the members in the region of the database: most of its statements come from there, and all hosts still choose the same one. A broker in each host's own region would grant permits of one database twice.

--- a/core/src/main/java/org/pollenspar/core/connection/BrokerClient.java
+++ b/core/src/main/java/org/pollenspar/core/connection/BrokerClient.java
@@ -2,20 +2,24 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.pollenspar.core.process.Avoidance;
 import org.pollenspar.core.process.Clocks;
 import org.pollenspar.core.process.Member;
+import org.pollenspar.core.process.Regions;
+import org.pollenspar.core.process.Regions.Distance;
 import org.pollenspar.core.process.Rendezvous;
 import org.pollenspar.core.process.Timers;
 
 /**
  * Requests permits from the broker of a database. The broker runs on one of the members, which all
- * hosts choose alike by rendezvous hashing.
+ * hosts choose alike by rendezvous hashing, with several regions among those of the database's.
  *
  * <p>A broker that doesn't answer in time is suspected and skipped for a while, and the next member
  * by hash takes its place. Until all hosts agree on the broker, two brokers may each grant permits
@@ -30,6 +34,8 @@
   private static final long SUSPICION_MS = 5_000;
 
   private final String self;
+  private final String ownDomain;
+  private final Regions regions;
   private final Supplier<Collection<Member>> members;
   private final SlotBrokers local;
   private final BrokerMessages messages;
@@ -38,7 +44,7 @@
   private final Avoidance suspected;
   private final Map<String, Member> brokerByDatabase = new HashMap<>();
 
-  /** Creates a client of the brokers of all hosts, including those of this host. */
+  /** Creates a client of the brokers of all hosts, including those of this host, in one region. */
   public BrokerClient(
       String self,
       Supplier<Collection<Member>> members,
@@ -46,7 +52,26 @@
       BrokerMessages messages,
       Clocks clocks,
       Timers timers) {
+    this(self, "", Regions.ONE, members, local, messages, clocks, timers);
+  }
+
+  /**
+   * Creates a client of the brokers of all hosts, including those of this host.
+   *
+   * @param ownDomain failure domain of this host
+   */
+  public BrokerClient(
+      String self,
+      String ownDomain,
+      Regions regions,
+      Supplier<Collection<Member>> members,
+      SlotBrokers local,
+      BrokerMessages messages,
+      Clocks clocks,
+      Timers timers) {
     this.self = self;
+    this.ownDomain = ownDomain;
+    this.regions = regions;
     this.members = members;
     this.local = local;
     this.messages = messages;
@@ -61,7 +86,7 @@
 
   @Override
   public void ask(DatabaseEntry database, SlotPermitRequest permitRequest) {
-    @Nullable Member broker = broker(database.id());
+    @Nullable Member broker = broker(database);
     if (broker == null) {
       permitRequest.brokerUnavailable();
     } else if (broker.name().equals(self)) {
@@ -81,8 +106,8 @@
     }
   }
 
-  private @Nullable Member broker(String database) {
-    @Nullable Member known = brokerByDatabase.get(database);
+  private @Nullable Member broker(DatabaseEntry database) {
+    @Nullable Member known = brokerByDatabase.get(database.id());
     if (known != null) {
       return known;
     }
@@ -92,14 +117,43 @@
         candidates.put(member.name(), member);
       }
     }
-    @Nullable String name = Rendezvous.first(database, List.copyOf(candidates.keySet()));
+    Set<String> names = near(database, candidates);
+    @Nullable String name = Rendezvous.first(database.id(), List.copyOf(names));
     @Nullable Member broker = name == null ? null : candidates.get(name);
     if (broker != null) {
-      brokerByDatabase.put(database, broker);
+      brokerByDatabase.put(database.id(), broker);
     }
     return broker;
   }
 
+  /**
+   * Returns the candidates in the region of the database, all if there are none. Most statements
+   * come from there, and all hosts must choose the same broker wherever they are.
+   */
+  private Set<String> near(DatabaseEntry database, Map<String, Member> candidates) {
+    Set<String> near = new HashSet<>();
+    candidates.forEach(
+        (name, member) -> {
+          if (regions.distance(member.domain(), database.domain()) != Distance.OTHER_REGION) {
+            near.add(name);
+          }
+        });
+    return near.isEmpty() ? candidates.keySet() : near;
+  }
+
+  @Override
+  public long immediateGrantMillis(DatabaseEntry database) {
+    @Nullable Member broker = broker(database);
+    return SlotPermits.super.immediateGrantMillis(database)
+        + (broker == null ? 0 : additionalMillis(broker));
+  }
+
+  /** Returns the time that an answer of a broker in another region may take in addition. */
+  private long additionalMillis(Member broker) {
+    boolean far = regions.distance(broker.domain(), ownDomain) == Distance.OTHER_REGION;
+    return far ? Regions.MAX_ROUND_TRIP_MS : 0;
+  }
+
   private void suspect(Member broker) {
     suspected.add(broker.name());
     brokerByDatabase.clear();
@@ -121,7 +175,7 @@
 
     void send(DatabaseEntry database) {
       releaseActions.put(permitRequest, this::end);
-      timeout = timers.after(FIRST_ANSWER_TIMEOUT_MS, this::timedOut);
+      timeout = timers.after(FIRST_ANSWER_TIMEOUT_MS + additionalMillis(broker), this::timedOut);
       releaseRemote = messages.ask(broker, database, this);
     }
 
@@ -160,7 +214,10 @@
     public void queued() {
       if (!decided) {
         stopTimer();
-        timeout = timers.after(maxWaitMillis() + FIRST_ANSWER_TIMEOUT_MS, this::timedOut);
+        timeout =
+            timers.after(
+                maxWaitMillis() + FIRST_ANSWER_TIMEOUT_MS + additionalMillis(broker),
+                this::timedOut);
         permitRequest.queued();
       }
     }
--- a/core/src/main/java/org/pollenspar/core/connection/BrokeredAdmission.java
+++ b/core/src/main/java/org/pollenspar/core/connection/BrokeredAdmission.java
@@ -26,9 +26,6 @@
   /** How long the database counts as congested after the last sign of congestion. */
   private static final long CONGESTION_HOLD_MS = 2_000;
 
-  /** A permit that took longer had to wait; a round trip to another host is shorter. */
-  private static final long IMMEDIATE_GRANT_MS = 10;
-
   /** How long requests start without permits after no broker answered. */
   private static final long BROKER_RETRY_MS = 300;
 
@@ -168,7 +165,7 @@
       }
       long waited = clocks.steadyNanos() - requestedNanos;
       recordWait(priority(), waited);
-      if (waited > IMMEDIATE_GRANT_MS * NANOS_PER_MILLI) {
+      if (waited > permits.immediateGrantMillis(database) * NANOS_PER_MILLI) {
         markCongested();
       }
       start.accept(new PermittedRequest(request, () -> permits.end(database, this, delayMillis)));
--- a/core/src/main/java/org/pollenspar/core/connection/SlotPermits.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SlotPermits.java
@@ -27,4 +27,12 @@
    * @param delayMillis recent delay of answers by the database's queue, as this host sees it
    */
   void end(DatabaseEntry database, SlotPermitRequest permitRequest, long delayMillis);
+
+  /**
+   * Returns the longest time within which a permit of a database that didn't have to wait arrives,
+   * in milliseconds. It is longer than a round trip to the broker.
+   */
+  default long immediateGrantMillis(DatabaseEntry database) {
+    return 10;
+  }
 }
