core: with several regions, reads are placed by latency, wait and objective

Cause: the fixed penalties (6 ms, 30 ms at the primary) were chosen for one region. Until a database in the other region has answered, it is taken for one with 20 ms; the mean of a database that is avoided never changes; and the least cost gives all reads of a host to one database. Change: ReadPlacement, with ResponseTimes (windowed minimum, time above it) and RegionalReads. It is used only if more than one region is configured; otherwise the same cost decides as before, which RegionsTest compares. Ruled out: to use the other region only when the own one can't answer within the whole rest of the objective.

--- a/core/src/main/java/org/pollenspar/core/connection/ConnectionPool.java
+++ b/core/src/main/java/org/pollenspar/core/connection/ConnectionPool.java
@@ -125,6 +125,11 @@
     return meanUseNanos + Math.max(meanUseNanos * requestsAhead / share, admissionWaitNanos);
   }
 
+  /** Returns how long a new request of a rank is expected to wait here, in nanoseconds. */
+  double queueNanos(int priority) {
+    return expectedNanos(priority) - meanUseNanos;
+  }
+
   /** Returns how long ago the database last answered, in milliseconds; -1 if never. */
   public long answerAgeMillis() {
     return answered ? (clocks.steadyNanos() - lastAnswerNanos) / NANOS_PER_MILLI : -1;
--- a/core/src/main/java/org/pollenspar/core/connection/DecisionListener.java
+++ b/core/src/main/java/org/pollenspar/core/connection/DecisionListener.java
@@ -2,6 +2,7 @@
 
 import org.jspecify.annotations.Nullable;
 import org.pollenspar.core.process.Member;
+import org.pollenspar.core.process.Regions;
 import org.pollenspar.core.request.Answer;
 import org.pollenspar.core.request.SessionRequest;
 import org.pollenspar.core.version.Route;
@@ -29,4 +30,12 @@
    */
   default void forwarded(
       SessionRequest request, Route route, @Nullable Member home, int attempts, Answer answer) {}
+
+  /**
+   * A database was chosen for a statement, with several regions. A statement that is retried has
+   * several choices.
+   *
+   * @param reason why the database was chosen
+   */
+  default void placed(Route route, Regions.Distance distance, ReadPlacement.Reason reason) {}
 }
--- a/core/src/main/java/org/pollenspar/core/connection/GroupRouter.java
+++ b/core/src/main/java/org/pollenspar/core/connection/GroupRouter.java
@@ -1,8 +1,10 @@
 package org.pollenspar.core.connection;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
@@ -44,9 +46,13 @@
    * Where a statement runs.
    *
    * @param requiredPosition position that the log of a replica must include; null at the primary
+   * @param placement why the statement runs there; null with one region
    */
-  public record StatementTarget(
-      ConnectionPool pool, @Nullable Position requiredPosition, boolean primary) {}
+  record StatementTarget(
+      ConnectionPool pool,
+      @Nullable Position requiredPosition,
+      boolean primary,
+      ReadPlacement.@Nullable Choice<ConnectionPool> placement) {}
 
   private final String group;
   private final String ownDomain;
@@ -57,9 +63,10 @@
   private final Timers timers;
   private final Map<String, ConnectionPool> pools = new HashMap<>();
   private final PositionHistory positions = new PositionHistory();
+  private final @Nullable RegionalReads regionalReads;
   private int share = 1;
 
-  /** Creates a router without databases. */
+  /** Creates a router without databases, for one region. */
   public GroupRouter(
       String group,
       String ownDomain,
@@ -68,6 +75,24 @@
       SlotPermits permits,
       Clocks clocks,
       Timers timers) {
+    this(group, ownDomain, authority, opener, permits, clocks, timers, null);
+  }
+
+  /**
+   * Creates a router without databases.
+   *
+   * @param regionalReads places reads in several regions; null for one region
+   */
+  public GroupRouter(
+      String group,
+      String ownDomain,
+      PrimaryAuthority authority,
+      PhysicalConnection.Opener opener,
+      SlotPermits permits,
+      Clocks clocks,
+      Timers timers,
+      @Nullable RegionalReads regionalReads) {
+    this.regionalReads = regionalReads;
     this.group = group;
     this.ownDomain = ownDomain;
     this.authority = authority;
@@ -101,6 +126,9 @@
     }
     for (String id : gone) {
       @Nullable ConnectionPool pool = pools.remove(id);
+      if (regionalReads != null) {
+        regionalReads.forget(id);
+      }
       if (pool != null) {
         pool.retire();
       }
@@ -171,35 +199,72 @@
     return covering.max(lastCommitPosition);
   }
 
-  /** Returns where a read should run now; null if no database can answer it. */
-  public @Nullable StatementTarget readTarget(
-      Route route, @Nullable Position lastCommitPosition, Set<ConnectionPool> excluded) {
+  /**
+   * Returns where a read should run now; null if no database can answer it.
+   *
+   * @param remainingNanos what is left of the latency objective of the read
+   */
+  @Nullable StatementTarget readTarget(
+      Route route,
+      @Nullable Position lastCommitPosition,
+      Set<ConnectionPool> excluded,
+      long remainingNanos) {
     @Nullable ConnectionPool primary = primary();
-    @Nullable StatementTarget atPrimary =
-        primary == null ? null : new StatementTarget(primary, null, true);
     if (route.kind() == RouteKind.PRIMARY) {
-      return atPrimary;
+      return primaryTarget();
     }
     @Nullable Position requiredPosition = requiredPosition(route, lastCommitPosition);
-    @Nullable StatementTarget best = null;
-    double bestCost = Double.MAX_VALUE;
+    List<ConnectionPool> usable = new ArrayList<>();
     if (primary != null && primary.usable() && !excluded.contains(primary)) {
-      best = atPrimary;
-      bestCost = cost(primary, route.priority()) + PRIMARY_PENALTY_NANOS;
-    }
-    if (requiredPosition == null) {
-      return best;
+      usable.add(primary);
     }
-    for (ConnectionPool pool : pools.values()) {
-      if (pool == primary || excluded.contains(pool) || !pool.usable() || pool.lagging()) {
-        continue;
+    if (requiredPosition != null) {
+      for (ConnectionPool pool : pools.values()) {
+        if (pool != primary && !excluded.contains(pool) && mayAnswerReads(pool)) {
+          usable.add(pool);
+        }
       }
-      if (pool.entry().draining()) {
-        continue;
-      }
-      double cost = cost(pool, route.priority());
+    }
+    if (regionalReads == null) {
+      @Nullable ConnectionPool least = leastCost(usable, primary, route.priority());
+      return least == null ? null : readAt(least, primary, requiredPosition, null);
+    }
+    ReadPlacement.@Nullable Choice<ConnectionPool> choice =
+        regionalReads.choose(
+            usable, primary, route.priority(), remainingNanos, clocks.steadyNanos());
+    return choice == null ? null : readAt(choice.database(), primary, requiredPosition, choice);
+  }
+
+  /** Returns the primary as the target of a statement; null if there is none. */
+  @Nullable StatementTarget primaryTarget() {
+    @Nullable ConnectionPool primary = primary();
+    return primary == null
+        ? null
+        : new StatementTarget(
+            primary, null, true, regionalReads == null ? null : regionalReads.atPrimary(primary));
+  }
+
+  private static boolean mayAnswerReads(ConnectionPool replica) {
+    return replica.usable() && !replica.lagging() && !replica.entry().draining();
+  }
+
+  private static StatementTarget readAt(
+      ConnectionPool pool,
+      @Nullable ConnectionPool primary,
+      @Nullable Position requiredPosition,
+      ReadPlacement.@Nullable Choice<ConnectionPool> placement) {
+    boolean atPrimary = pool == primary;
+    return new StatementTarget(pool, atPrimary ? null : requiredPosition, atPrimary, placement);
+  }
+
+  private @Nullable ConnectionPool leastCost(
+      List<ConnectionPool> usable, @Nullable ConnectionPool primary, int priority) {
+    @Nullable ConnectionPool best = null;
+    double bestCost = Double.MAX_VALUE;
+    for (ConnectionPool pool : usable) {
+      double cost = cost(pool, priority) + (pool == primary ? PRIMARY_PENALTY_NANOS : 0);
       if (cost < bestCost) {
-        best = new StatementTarget(pool, requiredPosition, false);
+        best = pool;
         bestCost = cost;
       }
     }
@@ -213,7 +278,11 @@
 
   /** Records a complete answer to a statement that was sent at {@code sentNanos}. */
   public void observe(ConnectionPool pool, int priority, Answer answer, long sentNanos) {
-    pool.recordAnswer(priority, answer.code(), clocks.steadyNanos() - sentNanos);
+    long now = clocks.steadyNanos();
+    pool.recordAnswer(priority, answer.code(), now - sentNanos);
+    if (regionalReads != null && !answer.code().hadNoEffect()) {
+      regionalReads.record(pool, priority, now - sentNanos, now);
+    }
     recordPosition(pool, answer, sentNanos);
   }
 
--- a/core/src/main/java/org/pollenspar/core/connection/SessionTransaction.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SessionTransaction.java
@@ -208,14 +208,20 @@
     }
 
     private @Nullable ConnectionPool choose() {
-      if (!readOnly) {
-        atPrimary = true;
-        return router.primary();
-      }
       GroupRouter.@Nullable StatementTarget target =
-          router.readTarget(route, lastCommitPosition, excluded);
-      atPrimary = target != null && target.primary();
-      return target == null ? null : target.pool();
+          readOnly
+              ? router.readTarget(route, lastCommitPosition, excluded, maxWaitNanos())
+              : router.primaryTarget();
+      atPrimary = !readOnly || (target != null && target.primary());
+      if (target == null) {
+        return null;
+      }
+      if (target.placement() != null) {
+        context
+            .decisions()
+            .placed(route, target.placement().distance(), target.placement().reason());
+      }
+      return target.pool();
     }
 
     @Override
--- a/core/src/main/java/org/pollenspar/core/connection/SingleStatement.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SingleStatement.java
@@ -90,16 +90,18 @@
     if (next == null) {
       finish(AnswerCode.BUSY, refusalReason != null ? refusalReason : unavailable());
     } else {
+      if (next.placement() != null) {
+        context.decisions().placed(route, next.placement().distance(), next.placement().reason());
+      }
       next.pool().acquire(this);
     }
   }
 
   private GroupRouter.@Nullable StatementTarget choose() {
     if (!writes) {
-      return router.readTarget(route, lastCommitPosition, excluded);
+      return router.readTarget(route, lastCommitPosition, excluded, maxWaitNanos());
     }
-    @Nullable ConnectionPool primary = router.primary();
-    return primary == null ? null : new GroupRouter.StatementTarget(primary, null, true);
+    return router.primaryTarget();
   }
 
   private String unavailable() {
