core: a replica that lacks only the session's own commit is not avoided across regions

Cause: after an answer LAGGING, all reads avoid the replica for 25 to 400 ms. In one region that costs them some ms. With the primary 30 ms away, the first read after each commit finds the local replica behind, and the reads of all other sessions would cross between the regions meanwhile. Change: with several regions, only a replica that lacks the position of the staleness bound is avoided. The read itself is retried at another database as before, which needs no change. Result: RegionsTest (retry of READ_YOUR_WRITES and BOUNDED in the other region; avoided or not).

--- a/core/src/main/java/org/pollenspar/core/connection/GroupRouter.java
+++ b/core/src/main/java/org/pollenspar/core/connection/GroupRouter.java
@@ -295,6 +295,19 @@
     recordPosition(pool, answer, sentNanos);
   }
 
+  /**
+   * Records that a replica lacked the position that a read required. With several regions, a
+   * replica that lacks only the last commit of the session is not avoided: the commit needs a
+   * moment to reach another region, and other sessions' reads would have to leave it meanwhile.
+   */
+  void markLagging(ConnectionPool pool, Route route, @Nullable Position lastCommitPosition) {
+    @Nullable Position required = requiredPosition(route, lastCommitPosition);
+    boolean onlyOwnCommit = required != null && !required.equals(requiredPosition(route, null));
+    if (regionalReads == null || !onlyOwnCommit) {
+      pool.markLagging();
+    }
+  }
+
   /** Returns the latest known end of the primary's log; null if none is known. */
   @Nullable Position latestPosition() {
     return positions.latest();
--- a/core/src/main/java/org/pollenspar/core/connection/SessionTransaction.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SessionTransaction.java
@@ -296,7 +296,7 @@
 
     private void beginFailed(PooledDatabaseConnection heldConnection, Answer answer) {
       if (answer.code() == AnswerCode.LAGGING) {
-        heldConnection.pool().markLagging();
+        router.markLagging(heldConnection.pool(), route, lastCommitPosition);
       }
       if (answer.code() == AnswerCode.LOST) {
         discardConnection(heldConnection);
--- a/core/src/main/java/org/pollenspar/core/connection/SingleStatement.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SingleStatement.java
@@ -239,7 +239,7 @@
       excluded.add(pool);
     }
     if (answer.code() == AnswerCode.LAGGING) {
-      pool.markLagging();
+      router.markLagging(pool, route, lastCommitPosition);
     }
     if (timedOut) {
       finish(AnswerCode.TIMED_OUT, "the statement exceeded the time limit of its route");
--- a/core/src/test/java/org/pollenspar/core/connection/RegionsTest.java
+++ b/core/src/test/java/org/pollenspar/core/connection/RegionsTest.java
@@ -19,13 +19,21 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.pollenspar.core.process.Confirmation;
 import org.pollenspar.core.process.FakeTime;
 import org.pollenspar.core.process.FleetMessages;
 import org.pollenspar.core.process.Member;
+import org.pollenspar.core.process.PrimaryAuthority;
+import org.pollenspar.core.process.PrimaryRecord;
 import org.pollenspar.core.process.Regions;
+import org.pollenspar.core.request.Answer;
 import org.pollenspar.core.request.AnswerCode;
+import org.pollenspar.core.request.SessionRequest;
+import org.pollenspar.core.request.SessionStatement;
+import org.pollenspar.core.request.TransactionState;
 import org.pollenspar.core.version.Route;
 import org.pollenspar.core.version.RouteKind;
+import org.pollenspar.core.version.RouteTable;
 
 /**
  * Guards against decisions that change without regions, and against homes and brokers in a region
@@ -179,4 +187,89 @@
     assertTrue(!admission.permitNeeded(1), "the permit kept the database congested");
     assertEquals(10, client.immediateGrantMillis(near));
   }
+
+  /** A replica in the own region that lags; the primary is in the other region. */
+  private static final class LaggingReplica {
+    final FakeTime time = new FakeTime();
+    final ScriptedDatabases databases = new ScriptedDatabases(time, 5);
+    final List<String> placements = new ArrayList<>();
+    final List<Answer> answers = new ArrayList<>();
+    final GroupRouter router;
+    boolean wasAvoided;
+    private final SessionContext context;
+
+    LaggingReplica() {
+      Confirmation confirmation = new Confirmation(time);
+      confirmation.renewed(confirmation.now());
+      PrimaryAuthority authority = new PrimaryAuthority(confirmation);
+      authority.update(PrimaryRecord.leading(SessionFixture.GROUP, "p", 1, 1, 10));
+      router =
+          new GroupRouter(
+              SessionFixture.GROUP,
+              "a",
+              authority,
+              databases,
+              SlotPermits.NONE,
+              time,
+              time,
+              new RegionalReads(REGIONS, "a", 1));
+      router.databases(
+          List.of(SessionFixture.entry("p", "c", true), SessionFixture.entry("r1", "a", false)));
+      router.share(2);
+      databases.positions.put("p", new Position(1, 100));
+      databases.script(
+          received ->
+              received.database().equals("r1")
+                  ? Answer.error(AnswerCode.LAGGING, "behind", TransactionState.IDLE)
+                  : null);
+      RouteTable routes = new RouteTable(1, Map.of(), Map.of(), 3_000);
+      DecisionListener decisions =
+          new DecisionListener() {
+            @Override
+            public void answered(
+                SessionRequest request,
+                Route route,
+                ConnectionPool pool,
+                int attempts,
+                Answer answer) {
+              answers.add(answer);
+            }
+
+            @Override
+            public void placed(
+                Route route, Regions.Distance distance, ReadPlacement.Reason reason) {
+              placements.add(distance + " " + reason);
+            }
+          };
+      context = new SessionContext(() -> routes, group -> null, time, time, decisions);
+    }
+
+    void read(RouteKind kind, Position lastCommit) {
+      Route route = new Route("r", "r", SessionFixture.GROUP, kind, 1_500, 800, 250, 1);
+      SessionRequest request =
+          new SessionRequest("q", new SessionStatement.Read("READ x"), time.steadyNanos());
+      new SingleStatement(
+              context, route, router, new SessionState(), request, lastCommit, answer -> {})
+          .start();
+      for (int i = 0; i < 100; i++) {
+        time.advance(1);
+        wasAvoided |= router.pool("r1").lagging();
+      }
+    }
+  }
+
+  @ParameterizedTest
+  @CsvSource({"READ_YOUR_WRITES, 120, false", "READ_YOUR_WRITES, 90, true", "BOUNDED, 120, true"})
+  void aReadAtALaggingReplicaIsRetriedInTheOtherRegion(
+      RouteKind kind, long lastCommit, boolean avoided) {
+    LaggingReplica model = new LaggingReplica();
+    model.read(RouteKind.PRIMARY, null);
+    model.read(kind, new Position(1, lastCommit));
+    assertEquals(
+        List.of("OTHER_REGION PRIMARY", "SAME_DOMAIN NEAREST", "OTHER_REGION NONE_NEARER"),
+        model.placements);
+    assertTrue(model.answers.stream().allMatch(Answer::ok), model.answers.toString());
+    // A replica that lacks only the session's own commit still serves other sessions.
+    assertEquals(avoided, model.wasAvoided);
+  }
 }
