edge, platform: settings of regions, and counters of statements by destination

Change: the settings host.region and [regions], rendered from the platform's region and zones, are optional; without them there is one region. The stand-in of review removes the template's sections, since it has none of the optional values.

--- a/edge/src/main/java/org/pollenspar/edge/process/DecisionLog.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/DecisionLog.java
@@ -4,8 +4,10 @@
 import org.pollenspar.core.connection.ConnectionPool;
 import org.pollenspar.core.connection.DecisionListener;
 import org.pollenspar.core.connection.Position;
+import org.pollenspar.core.connection.ReadPlacement;
 import org.pollenspar.core.process.Clocks;
 import org.pollenspar.core.process.Member;
+import org.pollenspar.core.process.Regions;
 import org.pollenspar.core.request.Answer;
 import org.pollenspar.core.request.AnswerCode;
 import org.pollenspar.core.request.SessionRequest;
@@ -56,15 +58,19 @@
   private final EventLog log;
   private final EdgeMetrics metrics;
   private final Clocks clocks;
+  private final String ownDomain;
+  private final Regions regions;
   private long windowStartMillis;
   private int loggedSuccesses;
   private int loggedRefusals;
 
-  DecisionLog(Origin origin, EventLog log, EdgeMetrics metrics, Clocks clocks) {
+  DecisionLog(Origin origin, EdgeNode.Dependencies dependencies) {
     this.origin = origin;
-    this.log = log;
-    this.metrics = metrics;
-    this.clocks = clocks;
+    this.log = dependencies.log();
+    this.metrics = dependencies.metrics();
+    this.clocks = dependencies.clocks();
+    this.ownDomain = dependencies.self().domain();
+    this.regions = dependencies.regions();
   }
 
   @Override
@@ -91,12 +97,30 @@
   @Override
   public void forwarded(
       SessionRequest request, Route route, @Nullable Member home, int attempts, Answer answer) {
+    if (regions.several() && home != null) {
+      String destination = regions.distance(ownDomain, home.domain()).name();
+      metrics.counter("forwarded{destination=\"" + destination + "\"}").inc();
+    }
     EventLog.@Nullable Line line = line(request, route, attempts, answer);
     if (line != null) {
       add(line.text("home", home == null ? "none" : home.name()), answer);
     }
   }
 
+  @Override
+  public void placed(Route route, Regions.Distance distance, ReadPlacement.Reason reason) {
+    metrics
+        .counter(
+            "placements{priority=\""
+                + route.priority()
+                + "\",destination=\""
+                + distance
+                + "\",reason=\""
+                + reason
+                + "\"}")
+        .inc();
+  }
+
   /** Counts an answer and begins its line; returns null if the answer isn't logged. */
   private EventLog.@Nullable Line line(
       SessionRequest request, @Nullable Route route, int attempts, Answer answer) {
--- a/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
@@ -19,6 +19,7 @@
 import org.pollenspar.core.connection.HomeChannel;
 import org.pollenspar.core.connection.HomeSelection;
 import org.pollenspar.core.connection.PhysicalConnection;
+import org.pollenspar.core.connection.RegionalReads;
 import org.pollenspar.core.connection.SessionContext;
 import org.pollenspar.core.connection.SlotBrokers;
 import org.pollenspar.core.process.Clocks;
@@ -34,6 +35,7 @@
 import org.pollenspar.core.process.PrimaryAuthority;
 import org.pollenspar.core.process.PrimaryClaims;
 import org.pollenspar.core.process.PromotionService;
+import org.pollenspar.core.process.Regions;
 import org.pollenspar.core.process.SharedRenewal;
 import org.pollenspar.core.process.Timers;
 import org.pollenspar.core.request.DatabaseCommand;
@@ -80,6 +82,7 @@
    * The services and settings that a node is built from.
    *
    * @param self this host as a member of the fleet
+   * @param regions regions of all failure domains
    * @param messages sends requests to other members
    * @param brokerMessages sends permit requests to the brokers on other members
    * @param homeChannels finds connections to the home hosts of groups
@@ -89,6 +92,7 @@
    */
   public record Dependencies(
       Member self,
+      Regions regions,
       Clocks clocks,
       Timers timers,
       CoordinationStore store,
@@ -207,6 +211,8 @@
   private BrokerClient brokerClient() {
     return new BrokerClient(
         dependencies.self().name(),
+        dependencies.self().domain(),
+        dependencies.regions(),
         table::members,
         brokers,
         dependencies.brokerMessages(),
@@ -218,11 +224,13 @@
     HomeSelection homeSelection =
         new HomeSelection(
             dependencies.self(),
+            dependencies.regions(),
             dependencies.messages(),
             dependencies.clocks(),
             dependencies.timers());
     return new HomeAssigner(
         dependencies.self(),
+        dependencies.regions(),
         groupRouters,
         () -> routes,
         table,
@@ -238,7 +246,7 @@
         homes::executor,
         dependencies.clocks(),
         dependencies.timers(),
-        new DecisionLog(origin, dependencies.log(), dependencies.metrics(), dependencies.clocks()));
+        new DecisionLog(origin, dependencies));
   }
 
   /** Registers the host as a member, starts periodic tasks and registers gauges. */
@@ -309,7 +317,8 @@
                 dependencies.connector(),
                 permits,
                 dependencies.clocks(),
-                dependencies.timers());
+                dependencies.timers(),
+                RegionalReads.of(dependencies.regions(), dependencies.self(), group));
         groupRouters.put(group, router);
         databasesChanged(group);
       }
--- a/edge/src/main/java/org/pollenspar/edge/process/HomeAssigner.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/HomeAssigner.java
@@ -9,9 +9,11 @@
 import org.pollenspar.core.connection.GroupRouter;
 import org.pollenspar.core.connection.HomeAssignment;
 import org.pollenspar.core.connection.LocalExecutor;
+import org.pollenspar.core.connection.RegionHomes;
 import org.pollenspar.core.connection.StatementExecutor;
 import org.pollenspar.core.process.FleetTable;
 import org.pollenspar.core.process.Member;
+import org.pollenspar.core.process.Regions;
 import org.pollenspar.core.process.Timers;
 import org.pollenspar.core.version.RouteTable;
 
@@ -34,6 +36,7 @@
   private static final long ASSIGNMENT_DELAY_MS = 20;
 
   private final Member self;
+  private final Regions regions;
   private final Map<String, GroupRouter> routers;
   private final Supplier<RouteTable> routes;
   private final FleetTable table;
@@ -53,6 +56,7 @@
    */
   HomeAssigner(
       Member self,
+      Regions regions,
       Map<String, GroupRouter> routers,
       Supplier<RouteTable> routes,
       FleetTable table,
@@ -61,6 +65,7 @@
       Timers timers,
       EventLog log) {
     this.self = self;
+    this.regions = regions;
     this.routers = routers;
     this.routes = routes;
     this.table = table;
@@ -102,8 +107,12 @@
   private void assign(GroupRouter router, int maxConnections) {
     int established = (int) (ESTABLISHED_FRACTION * maxConnections);
     HomeAssignment assignment =
-        HomeAssignment.of(
-            router.group(), established, directory.slots(router.group()), table.members());
+        RegionHomes.inEachRegion(
+            HomeAssignment.of(
+                router.group(), established, directory.slots(router.group()), table.members()),
+            router.group(),
+            table.members(),
+            regions);
     logChange(router.group(), assignments.put(router.group(), assignment), assignment);
     forwarding.homes().assign(router.group(), assignment);
     router.share(share(assignment, maxConnections - established));
--- a/review/lib/Host.java
+++ b/review/lib/Host.java
@@ -43,6 +43,8 @@
     settings = folder.resolve(name + ".toml");
     String text =
         Files.readString(root.resolve("deploy/edge.toml"))
+            // Sections of optional values; the stand-in has none of them.
+            .replaceAll("(?s)\\{\\{#(\\w+)}}.*?\\{\\{/\\1}}\n", "")
             .replace("{{node_name|json}}", quote(name))
             .replace("{{ip|json}}", quote("127.0.0.1"))
             .replace("{{zone|json}}", quote("a"))
