--- a/core/src/main/java/org/pollenspar/core/connection/ConnectionPool.java
+++ b/core/src/main/java/org/pollenspar/core/connection/ConnectionPool.java
@@ -155,6 +155,14 @@
     return meanUseNanos + Math.max(connectionWaitNanos, admissionWaitNanos);
   }
 
+  /**
+   * Returns how long a new request of a rank and organisation is expected to wait here, in
+   * nanoseconds.
+   */
+  double queueNanos(int priority, String organisation) {
+    return expectedNanos(priority, organisation) - meanUseNanos;
+  }
+
   /** Returns how long ago the database last answered, in milliseconds; -1 if never. */
   public long answerAgeMillis() {
     return answered ? (clocks.steadyNanos() - lastAnswerNanos) / NANOS_PER_MILLI : -1;
--- a/core/src/main/java/org/pollenspar/core/connection/GroupRouter.java
+++ b/core/src/main/java/org/pollenspar/core/connection/GroupRouter.java
@@ -1,8 +1,10 @@
 package org.pollenspar.core.connection;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
@@ -44,9 +46,13 @@
    * Where a statement runs.
    *
    * @param requiredPosition position that the log of a replica must include; null at the primary
+   * @param placement why the statement runs there; null with one region
    */
-  public record StatementTarget(
-      ConnectionPool pool, @Nullable Position requiredPosition, boolean primary) {}
+  record StatementTarget(
+      ConnectionPool pool,
+      @Nullable Position requiredPosition,
+      boolean primary,
+      ReadPlacement.@Nullable Choice<ConnectionPool> placement) {}
 
   private final String group;
   private final String ownDomain;
@@ -58,9 +64,10 @@
   private final Map<String, ConnectionPool> pools = new HashMap<>();
   private final ConnectionPoolCounts counts = new ConnectionPoolCounts();
   private final PositionHistory positions = new PositionHistory();
+  private final @Nullable RegionalReads regionalReads;
   private int share = 1;
 
-  /** Creates a router without databases. */
+  /** Creates a router without databases, for one region. */
   public GroupRouter(
       String group,
       String ownDomain,
@@ -69,6 +76,24 @@
       SlotPermits permits,
       Clocks clocks,
       Timers timers) {
+    this(group, ownDomain, authority, opener, permits, clocks, timers, null);
+  }
+
+  /**
+   * Creates a router without databases.
+   *
+   * @param regionalReads places reads in several regions; null for one region
+   */
+  public GroupRouter(
+      String group,
+      String ownDomain,
+      PrimaryAuthority authority,
+      PhysicalConnection.Opener opener,
+      SlotPermits permits,
+      Clocks clocks,
+      Timers timers,
+      @Nullable RegionalReads regionalReads) {
+    this.regionalReads = regionalReads;
     this.group = group;
     this.ownDomain = ownDomain;
     this.authority = authority;
@@ -102,6 +127,9 @@
     }
     for (String id : gone) {
       @Nullable ConnectionPool pool = pools.remove(id);
+      if (regionalReads != null) {
+        regionalReads.forget(id);
+      }
       if (pool != null) {
         pool.retire();
       }
@@ -177,38 +205,77 @@
     return covering.max(lastCommitPosition);
   }
 
-  /** Returns where a read should run now; null if no database can answer it. */
-  public @Nullable StatementTarget readTarget(
+  /**
+   * Returns where a read should run now; null if no database can answer it.
+   *
+   * @param remainingNanos what is left of the latency objective of the read
+   */
+  @Nullable StatementTarget readTarget(
       Route route,
       String organisation,
       @Nullable Position lastCommitPosition,
-      Set<ConnectionPool> excluded) {
+      Set<ConnectionPool> excluded,
+      long remainingNanos) {
     @Nullable ConnectionPool primary = primary();
-    @Nullable StatementTarget atPrimary =
-        primary == null ? null : new StatementTarget(primary, null, true);
     if (route.kind() == RouteKind.PRIMARY) {
-      return atPrimary;
+      return primaryTarget();
     }
     @Nullable Position requiredPosition = requiredPosition(route, lastCommitPosition);
-    @Nullable StatementTarget best = null;
-    double bestCost = Double.MAX_VALUE;
+    List<ConnectionPool> usable = new ArrayList<>();
     if (primary != null && primary.usable() && !excluded.contains(primary)) {
-      best = atPrimary;
-      bestCost = cost(primary, route.priority(), organisation) + PRIMARY_PENALTY_NANOS;
+      usable.add(primary);
     }
-    if (requiredPosition == null) {
-      return best;
-    }
-    for (ConnectionPool pool : pools.values()) {
-      if (pool == primary || excluded.contains(pool) || !pool.usable() || pool.lagging()) {
-        continue;
-      }
-      if (pool.entry().draining()) {
-        continue;
+    if (requiredPosition != null) {
+      for (ConnectionPool pool : pools.values()) {
+        if (pool != primary && !excluded.contains(pool) && mayAnswerReads(pool)) {
+          usable.add(pool);
+        }
       }
-      double cost = cost(pool, route.priority(), organisation);
+    }
+    if (regionalReads == null) {
+      @Nullable ConnectionPool least = leastCost(usable, primary, route.priority(), organisation);
+      return least == null ? null : readAt(least, primary, requiredPosition, null);
+    }
+    ReadPlacement.@Nullable Choice<ConnectionPool> choice =
+        regionalReads.choose(
+            usable, primary, route.priority(), organisation, remainingNanos, clocks.steadyNanos());
+    return choice == null ? null : readAt(choice.database(), primary, requiredPosition, choice);
+  }
+
+  /** Returns the primary as the target of a statement; null if there is none. */
+  @Nullable StatementTarget primaryTarget() {
+    @Nullable ConnectionPool primary = primary();
+    return primary == null
+        ? null
+        : new StatementTarget(
+            primary, null, true, regionalReads == null ? null : regionalReads.atPrimary(primary));
+  }
+
+  private static boolean mayAnswerReads(ConnectionPool replica) {
+    return replica.usable() && !replica.lagging() && !replica.entry().draining();
+  }
+
+  private static StatementTarget readAt(
+      ConnectionPool pool,
+      @Nullable ConnectionPool primary,
+      @Nullable Position requiredPosition,
+      ReadPlacement.@Nullable Choice<ConnectionPool> placement) {
+    boolean atPrimary = pool == primary;
+    return new StatementTarget(pool, atPrimary ? null : requiredPosition, atPrimary, placement);
+  }
+
+  private @Nullable ConnectionPool leastCost(
+      List<ConnectionPool> usable,
+      @Nullable ConnectionPool primary,
+      int priority,
+      String organisation) {
+    @Nullable ConnectionPool best = null;
+    double bestCost = Double.MAX_VALUE;
+    for (ConnectionPool pool : usable) {
+      double cost =
+          cost(pool, priority, organisation) + (pool == primary ? PRIMARY_PENALTY_NANOS : 0);
       if (cost < bestCost) {
-        best = new StatementTarget(pool, requiredPosition, false);
+        best = pool;
         bestCost = cost;
       }
     }
@@ -222,7 +289,11 @@
 
   /** Records a complete answer to a statement that was sent at {@code sentNanos}. */
   public void observe(ConnectionPool pool, int priority, Answer answer, long sentNanos) {
-    pool.recordAnswer(priority, answer.code(), clocks.steadyNanos() - sentNanos);
+    long now = clocks.steadyNanos();
+    pool.recordAnswer(priority, answer.code(), now - sentNanos);
+    if (regionalReads != null && !answer.code().hadNoEffect()) {
+      regionalReads.record(pool, priority, now - sentNanos, now);
+    }
     recordPosition(pool, answer, sentNanos);
   }
 
@@ -235,6 +306,19 @@
     recordPosition(pool, answer, sentNanos);
   }
 
+  /**
+   * Records that a replica lacked the position that a read required. With several regions, a
+   * replica that lacks only the last commit of the session is not avoided: the commit needs a
+   * moment to reach another region, and other sessions' reads would have to leave it meanwhile.
+   */
+  void markLagging(ConnectionPool pool, Route route, @Nullable Position lastCommitPosition) {
+    @Nullable Position required = requiredPosition(route, lastCommitPosition);
+    boolean onlyOwnCommit = required != null && !required.equals(requiredPosition(route, null));
+    if (regionalReads == null || !onlyOwnCommit) {
+      pool.markLagging();
+    }
+  }
+
   /** Returns the latest known end of the primary's log; null if none is known. */
   @Nullable Position latestPosition() {
     return positions.latest();
--- a/core/src/main/java/org/pollenspar/core/connection/SessionTransaction.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SessionTransaction.java
@@ -208,14 +208,21 @@
     }
 
     private @Nullable ConnectionPool choose() {
-      if (!readOnly) {
-        atPrimary = true;
-        return router.primary();
-      }
       GroupRouter.@Nullable StatementTarget target =
-          router.readTarget(route, sessionState.organisation(), lastCommitPosition, excluded);
-      atPrimary = target != null && target.primary();
-      return target == null ? null : target.pool();
+          readOnly
+              ? router.readTarget(
+                  route, sessionState.organisation(), lastCommitPosition, excluded, maxWaitNanos())
+              : router.primaryTarget();
+      atPrimary = !readOnly || (target != null && target.primary());
+      if (target == null) {
+        return null;
+      }
+      if (target.placement() != null) {
+        context
+            .decisions()
+            .placed(route, target.placement().distance(), target.placement().reason());
+      }
+      return target.pool();
     }
 
     @Override
@@ -290,7 +297,7 @@
 
     private void beginFailed(PooledDatabaseConnection heldConnection, Answer answer) {
       if (answer.code() == AnswerCode.LAGGING) {
-        heldConnection.pool().markLagging();
+        router.markLagging(heldConnection.pool(), route, lastCommitPosition);
       }
       if (answer.code() == AnswerCode.LOST) {
         discardConnection(heldConnection);
--- a/edge/src/main/java/org/pollenspar/edge/process/HomeAssigner.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/HomeAssigner.java
@@ -14,9 +14,11 @@
 import org.pollenspar.core.connection.LocalExecutor;
 import org.pollenspar.core.connection.OrganisationExecutor;
 import org.pollenspar.core.connection.OrganisationHomes;
+import org.pollenspar.core.connection.RegionHomes;
 import org.pollenspar.core.connection.StatementExecutor;
 import org.pollenspar.core.process.FleetTable;
 import org.pollenspar.core.process.Member;
+import org.pollenspar.core.process.Regions;
 import org.pollenspar.core.process.Timers;
 import org.pollenspar.core.version.Organisations;
 import org.pollenspar.core.version.RouteTable;
@@ -40,6 +42,7 @@
   private static final long ASSIGNMENT_DELAY_MS = 20;
 
   private final Member self;
+  private final Regions regions;
   private final Map<String, GroupRouter> routers;
   private final Supplier<RouteTable> routes;
   private final FleetTable table;
@@ -60,6 +63,7 @@
    */
   HomeAssigner(
       Member self,
+      Regions regions,
       Map<String, GroupRouter> routers,
       Supplier<RouteTable> routes,
       FleetTable table,
@@ -68,6 +72,7 @@
       Timers timers,
       EventLog log) {
     this.self = self;
+    this.regions = regions;
     this.routers = routers;
     this.routes = routes;
     this.table = table;
@@ -111,8 +116,12 @@
     String group = router.group();
     @Nullable Organisations organisations = routes.get().organisations();
     HomeAssignment assignment =
-        HomeAssignment.of(
-            group, established, directory.slots(group), table.members(), organisations != null);
+        RegionHomes.inEachRegion(
+            HomeAssignment.of(
+                group, established, directory.slots(group), table.members(), organisations != null),
+            group,
+            table.members(),
+            regions);
     OrganisationHomes ofOrganisations =
         organisations == null
             ? OrganisationHomes.NONE
