core: limits on the rates of organisations over all hosts

Each host alone could only enforce its part of a limit, and callers are not spread evenly. Two coordinators per organisation now grant its operations, and a decorator of the executors asks them before the first statement.

--- /dev/null
+++ b/core/src/main/java/org/pollenspar/core/connection/QuotaCoordinator.java
@@ -0,0 +1,310 @@
+package org.pollenspar.core.connection;
+
+import java.util.Objects;
+import org.jspecify.annotations.Nullable;
+import org.pollenspar.core.process.ClockReading;
+import org.pollenspar.core.process.Clocks;
+import org.pollenspar.core.process.Confirmation;
+import org.pollenspar.core.process.ControlListener;
+import org.pollenspar.core.version.Organisation.RateLimit;
+
+/**
+ * The budget of one organisation on one of its two coordinators.
+ *
+ * <p>The first coordinator grants at the full rate only while the second has lately promised to
+ * pass requests on to it; the acknowledgement of a heartbeat is that promise. Without it, the first
+ * grants at half of the rate, and the second, once the promise has expired, at the other half. The
+ * first counts the promise from when it sent the heartbeat and for half of the time for which the
+ * second keeps it, so the first is at half before the second begins. One coordinator alone would
+ * stop all operations when it fails; two that both take over the full rate would double it whenever
+ * the network between them is cut.
+ *
+ * <p>Invariant: at any time the rates at which the two grant add up to at most the limit, and so do
+ * the tokens that they hold. So in any time t, both together grant at most burst + rate x t. A host
+ * that begins to grant therefore starts with an empty bucket, and the first coordinator sets the
+ * tokens above half of the burst aside while it is at half: it gets them back only if the second
+ * has granted nothing meanwhile, which the second's epoch shows.
+ *
+ * <p>A member that was suspended may be cut off and not know it; it grants until its confirmation
+ * has expired, and it stays suspended in the list until then. Its successor is limited to half of
+ * the rate for this time, and grants nothing if both former coordinators are suspended. Before they
+ * are suspended, both may be cut off together and still grant the whole rate. So a host that has
+ * become a coordinator grants nothing until it has heard the other one, or until the confirmations
+ * of all hosts that were cut off before must have expired. For the same time, the rate is limited
+ * to half after a coordinator was replaced that the remaining one no longer heard.
+ */
+final class QuotaCoordinator {
+  /** Age of the second's promise from which on the first grants at half of the rate. */
+  private static final long FIRST_SILENCE_MS = 750;
+
+  /** Silence of the first after which the second grants at half of the rate. */
+  private static final long SECOND_SILENCE_MS = 1_500;
+
+  /** Time after which a host that was cut off earlier has no confirmation any more. */
+  private static final long CUT_OFF_MS = Confirmation.VALID_MS + 500;
+
+  /** Bound of the time to come back that is stated to many refused operations at once. */
+  private static final double MAX_RETRY_SECONDS = 1;
+
+  /** Place of this host among the coordinators. */
+  enum Role {
+    FIRST,
+    SECOND
+  }
+
+  /** What this host does with a request. */
+  enum Mode {
+    /** Decides, with the whole rate. */
+    FULL,
+    /** Decides, with half of the rate. */
+    HALF,
+    /** Passes requests on to the first coordinator. */
+    FOLLOWING,
+    /** Declines, since other hosts may grant the whole rate. */
+    BARRED
+  }
+
+  private final String organisation;
+  private final Clocks clocks;
+  private final ControlListener listener;
+  private final TokenBucket bucket;
+  private RateLimit limit;
+  private long version;
+  private @Nullable Role role;
+  private @Nullable String other;
+  private int suspendedBefore;
+  private Mode mode = Mode.FOLLOWING;
+
+  /**
+   * On the first coordinator, when the heartbeat was sent that the second acknowledged last, null
+   * for none; on the second, when the last heartbeat arrived or this host became the second.
+   */
+  private @Nullable ClockReading heardAt;
+
+  private final ClockReading createdAt;
+  private boolean heardAny;
+
+  /** When the present other coordinator became that. */
+  private ClockReading otherSince;
+
+  /** From when and for how long a replaced coordinator, which was silent, may still grant. */
+  private ClockReading sharedSince;
+
+  private long sharedMillis;
+
+  /** Epoch in the last acknowledgement of the present second coordinator; null for none. */
+  private @Nullable Long otherEpoch;
+
+  /** Tokens that the first coordinator set aside when it went from the full rate to half. */
+  private double setAside;
+
+  private long epoch;
+  private double refusedSinceGrant;
+  private ClockReading askedAt;
+
+  QuotaCoordinator(
+      String organisation, RateLimit limit, long version, Clocks clocks, ControlListener listener) {
+    this.organisation = organisation;
+    this.limit = limit;
+    this.version = version;
+    this.clocks = clocks;
+    this.listener = listener;
+    this.bucket = new TokenBucket(limit.perSecond(), limit.burst(), clocks.steadyNanos());
+    // Differs from the epochs of an earlier process of this name.
+    this.epoch = Math.max(1, clocks.wallMillis());
+    this.createdAt = ClockReading.now(clocks);
+    this.askedAt = createdAt;
+    this.otherSince = createdAt;
+    this.sharedSince = createdAt;
+  }
+
+  /** Sets this host's place, the other coordinator and the number of suspended predecessors. */
+  void assign(Role newRole, @Nullable String newOther, int newSuspendedBefore) {
+    refresh();
+    boolean otherChanged = !Objects.equals(other, newOther);
+    boolean replaced = role != null && other != null && (newRole != role || otherChanged);
+    if (replaced && otherSilent() && otherSince.ageMillis(clocks) >= FIRST_SILENCE_MS) {
+      sharedFor(CUT_OFF_MS);
+    }
+    if (newRole != role) {
+      heardAt = newRole == Role.SECOND ? ClockReading.now(clocks) : null;
+      listener.changed(
+          "quota_coordinator",
+          organisation,
+          (newRole == Role.FIRST ? "first" : "second") + ", the other is " + newOther);
+    } else if (otherChanged && newRole == Role.SECOND) {
+      heardAt = ClockReading.now(clocks);
+    }
+    if (newRole != role || otherChanged) {
+      otherEpoch = null;
+      otherSince = ClockReading.now(clocks);
+    }
+    role = newRole;
+    other = newOther;
+    suspendedBefore = newSuspendedBefore;
+    refresh();
+  }
+
+  /** Applies the figures of a configuration, unless those of a later version are known. */
+  void limit(RateLimit newLimit, long newVersion) {
+    if (newVersion <= version) {
+      return;
+    }
+    version = newVersion;
+    if (!newLimit.equals(limit)) {
+      limit = newLimit;
+      setAside = Math.min(setAside, newLimit.burst() / 2);
+      limitBucket();
+    }
+  }
+
+  long version() {
+    return version;
+  }
+
+  @Nullable Role role() {
+    return role;
+  }
+
+  /** Returns what to do with a request that arrived now. */
+  Mode asked() {
+    askedAt = ClockReading.now(clocks);
+    refresh();
+    return mode;
+  }
+
+  /** Grants or refuses one operation; used only if the mode says that this host decides. */
+  QuotaDecision decide() {
+    long now = clocks.steadyNanos();
+    if (bucket.take(now)) {
+      refusedSinceGrant = bucket.tokens(now) >= 1 ? 0 : Math.max(0, refusedSinceGrant - 1);
+      return QuotaDecision.GRANTED;
+    }
+    // Times that differ keep those who are refused together from coming back together.
+    refusedSinceGrant = Math.min(refusedSinceGrant + 1, 1 + limit.perSecond() * MAX_RETRY_SECONDS);
+    return new QuotaDecision(
+        QuotaDecision.Kind.REFUSED, bucket.millisUntil(refusedSinceGrant, now));
+  }
+
+  /** Returns one granted operation to the budget; returns false if this host has none now. */
+  boolean giveBack() {
+    refresh();
+    if (mode != Mode.FULL && mode != Mode.HALF) {
+      return false;
+    }
+    bucket.add(1);
+    return true;
+  }
+
+  /** Returns whether this host has to send heartbeats: it is the first and was asked lately. */
+  boolean sendsHeartbeats(long idleMillis) {
+    return role == Role.FIRST && other != null && askedAt.ageMillis(clocks) < idleMillis;
+  }
+
+  /**
+   * Receives a heartbeat; returns whether this host passes requests on to its sender now.
+   *
+   * @param senderShared {@link #sharedMillis} of the sender, which this host may replace later
+   */
+  boolean follow(String sender, long senderShared) {
+    if (role != Role.SECOND || !sender.equals(other)) {
+      return false;
+    }
+    sharedFor(senderShared);
+    heardAt = ClockReading.now(clocks);
+    heardAny = true;
+    refresh();
+    return true;
+  }
+
+  long epoch() {
+    return epoch;
+  }
+
+  /** Records that the second coordinator acknowledged a heartbeat as one that it follows. */
+  void acknowledged(String second, ClockReading sentAt, QuotaAcknowledgement answer) {
+    if (role != Role.FIRST || !second.equals(other)) {
+      return;
+    }
+    refresh();
+    @Nullable Long known = otherEpoch;
+    boolean grantedNothing = known != null && known == answer.epoch();
+    otherEpoch = answer.epoch();
+    heardAny = true;
+    @Nullable ClockReading last = heardAt;
+    // Acknowledgements that overtake each other must not shorten the promise.
+    if (answer.sole() && (last == null || sentAt.steadyNanos() > last.steadyNanos())) {
+      heardAt = sentAt;
+    }
+    refresh();
+    if (mode == Mode.FULL) {
+      if (grantedNothing) {
+        bucket.add(setAside);
+      }
+      setAside = 0;
+    } else if (!grantedNothing) {
+      setAside = 0;
+    }
+  }
+
+  private void refresh() {
+    Mode next = nextMode();
+    if (next == mode) {
+      return;
+    }
+    Mode before = mode;
+    mode = next;
+    long now = clocks.steadyNanos();
+    if (before == Mode.FOLLOWING || before == Mode.BARRED) {
+      bucket.clear(now);
+      setAside = 0;
+      epoch++;
+    }
+    double tokens = bucket.tokens(now);
+    limitBucket();
+    if (before == Mode.FULL && next == Mode.HALF) {
+      setAside = tokens - bucket.tokens(now);
+    }
+    listener.changed("quota_mode", organisation, before + " to " + next);
+  }
+
+  private boolean otherSilent() {
+    @Nullable ClockReading heard = heardAt;
+    return heard == null || heard.ageMillis(clocks) >= FIRST_SILENCE_MS;
+  }
+
+  private void sharedFor(long millisFromNow) {
+    if (millisFromNow > sharedMillis()) {
+      sharedSince = ClockReading.now(clocks);
+      sharedMillis = millisFromNow;
+    }
+  }
+
+  /** Returns for how long a host that was replaced while it was silent may still grant. */
+  long sharedMillis() {
+    return Math.max(0, sharedMillis - sharedSince.ageMillis(clocks));
+  }
+
+  private Mode nextMode() {
+    if (role == null) {
+      return Mode.FOLLOWING;
+    }
+    @Nullable ClockReading heard = heardAt;
+    if (role == Role.SECOND && heard != null && heard.ageMillis(clocks) < SECOND_SILENCE_MS) {
+      return Mode.FOLLOWING;
+    }
+    boolean mayHavePredecessors = other != null || suspendedBefore > 0;
+    boolean unheard = mayHavePredecessors && !heardAny && createdAt.ageMillis(clocks) < CUT_OFF_MS;
+    boolean shared = suspendedBefore > 0 || sharedMillis() > 0;
+    if (unheard || suspendedBefore > 1 || (shared && role == Role.SECOND)) {
+      return Mode.BARRED;
+    }
+    boolean promised = other == null || (role == Role.FIRST && !otherSilent());
+    return promised && !shared ? Mode.FULL : Mode.HALF;
+  }
+
+  private void limitBucket() {
+    double share = mode == Mode.FULL ? 1 : 0.5;
+    bucket.limit(share * limit.perSecond(), share * limit.burst(), clocks.steadyNanos());
+  }
+}
--- a/core/src/main/java/org/pollenspar/core/version/Route.java
+++ b/core/src/main/java/org/pollenspar/core/version/Route.java
@@ -60,4 +60,18 @@
         priority,
         isPublic);
   }
+
+  /** Returns this route with another time limit of statements. */
+  public Route withStatementTimeout(long millis) {
+    return new Route(
+        name,
+        database,
+        group,
+        kind,
+        maxStalenessMillis,
+        millis,
+        targetLatencyMillis,
+        priority,
+        isPublic);
+  }
 }
--- /dev/null
+++ b/core/src/test/java/org/pollenspar/core/connection/QuotaTest.java
@@ -0,0 +1,408 @@
+package org.pollenspar.core.connection;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.pollenspar.core.process.Member;
+import org.pollenspar.core.request.Answer;
+import org.pollenspar.core.request.AnswerCode;
+import org.pollenspar.core.request.SessionRequest;
+import org.pollenspar.core.request.SessionStatement;
+import org.pollenspar.core.request.TransactionState;
+import org.pollenspar.core.version.Organisation;
+import org.pollenspar.core.version.Organisation.RateLimit;
+import org.pollenspar.core.version.Organisations;
+import org.pollenspar.core.version.RouteTable;
+
+/** Guards against limits that fail with a host or with the network, and against lost grants. */
+class QuotaTest {
+  private static final int RATE = 100;
+
+  @Nested
+  class Fleet {
+    private final QuotaSimulation fleet = new QuotaSimulation(7, 5, new RateLimit(RATE, 50));
+    private final String first = fleet.coordinators().first().name();
+    private final String second = fleet.coordinators().second().name();
+
+    private int grantsIn(long millis, int demand) {
+      fleet.resetCounts();
+      fleet.load(demand, millis);
+      return fleet.grants.size();
+    }
+
+    private void assertBetween(int from, int to, int value) {
+      assertTrue(value >= from && value <= to, value + " is not within " + from + " to " + to);
+    }
+
+    /** Returns a host that isn't a coordinator. */
+    private String outsider() {
+      return fleet.hosts.keySet().stream()
+          .filter(name -> !name.equals(first) && !name.equals(second))
+          .findFirst()
+          .orElseThrow();
+    }
+
+    /** Guards against a successor that doubles the rate, or that grants nothing. */
+    @Test
+    void theSecondCoordinatorGrantsHalfAfterTheFirstCrashed() {
+      fleet.load(3 * RATE, 5_000);
+      fleet.crash(first);
+      fleet.load(3 * RATE, 1_600);
+      assertBetween(45, 55, grantsIn(1_000, 3 * RATE));
+      assertNull(fleet.violation());
+    }
+
+    /** Guards against two coordinators that both use the whole rate, or neither of them any. */
+    @Test
+    void bothSidesOfAPartitionShareTheRate() {
+      fleet.load(3 * RATE, 5_000);
+      Set<String> side = Set.of(first);
+      fleet.hosts.keySet().stream()
+          .filter(name -> !side.contains(name))
+          .forEach(name -> fleet.cut(first, name));
+      // Long enough to use up the tokens that the first gathered before it noticed the cut.
+      fleet.load(6 * RATE, 3_000);
+      int total = grantsIn(1_000, 6 * RATE);
+      assertBetween(90, 120, total);
+      assertBetween(45, 55, fleet.grantsByHost.get(first));
+    }
+
+    /** Guards against hosts that grant without a bound, or wait, while no coordinator answers. */
+    @Test
+    void withoutAnyCoordinatorHostsGrantTheExcessOnly() {
+      fleet.load(RATE, 2_000);
+      fleet.crash(first);
+      fleet.crash(second);
+      int total = grantsIn(2_000, 5 * RATE);
+      assertBetween(0, (int) (0.1 * RATE * 2) + 5, total);
+      assertTrue(!fleet.refusals.isEmpty(), "nothing was refused");
+    }
+
+    /** Guards against half of the burst being lost once heartbeats have paused. */
+    @Test
+    void anIdleOrganisationMayUseItsWholeBurst() {
+      fleet.load(RATE / 2, 1_000);
+      fleet.time.advance(120_000);
+      fleet.hosts.get(second).operation();
+      fleet.time.advance(400);
+      fleet.resetCounts();
+      for (int i = 0; i < 40; i++) {
+        fleet.hosts.get(second).operation();
+      }
+      fleet.time.advance(100);
+      assertEquals(List.of(), fleet.refusals);
+    }
+
+    /** Guards against a successor that grants the burst which its predecessor has granted. */
+    @Test
+    void aSuccessorStartsEmpty() {
+      fleet.time.advance(5_000);
+      fleet.load(10 * RATE, 500);
+      fleet.leave(first);
+      assertBetween(0, RATE / 2 + 5, grantsIn(500, 10 * RATE));
+      assertNull(fleet.violation());
+    }
+
+    /** Guards against figures that wait for a new coordinator or a full bucket. */
+    @Test
+    void changedFiguresApplyAtOnce() {
+      fleet.load(3 * RATE, 5_000);
+      fleet.limit(new RateLimit(10, 5));
+      fleet.time.advance(150);
+      assertBetween(5, 30, grantsIn(1_000, 3 * RATE));
+      fleet.limit(new RateLimit(200, 5));
+      fleet.time.advance(150);
+      assertBetween(180, 230, grantsIn(1_000, 6 * RATE));
+    }
+
+    /** Guards against a request that fails although only its sender's list is out of date. */
+    @Test
+    void aHostOutsideTheCoordinatorsPassesARequestOnOnce() {
+      fleet.time.advance(2_000);
+      String other = outsider();
+      List<QuotaDecision> decisions = new ArrayList<>();
+      RateLimit limit = new RateLimit(RATE, 50);
+      QuotaRequest request = new QuotaRequest(QuotaSimulation.ORGANISATION, limit, 0, false);
+      fleet.hosts.get(other).coordinators.ask(request, decisions::add);
+      fleet.hosts.get(other).coordinators.ask(request.asRelayed(), decisions::add);
+      fleet.time.advance(50);
+      assertEquals(List.of(QuotaDecision.DECLINED, QuotaDecision.GRANTED), decisions);
+    }
+
+    /** Guards against a host that was removed from the members and goes on granting. */
+    @Test
+    void aHostWithoutConfirmationDeclines() {
+      fleet.withoutStore.add(first);
+      fleet.time.advance(6_500);
+      List<QuotaDecision> decisions = new ArrayList<>();
+      RateLimit limit = new RateLimit(RATE, 50);
+      QuotaRequest request = new QuotaRequest(QuotaSimulation.ORGANISATION, limit, 0, false);
+      fleet.hosts.get(first).coordinators.ask(request, decisions::add);
+      assertEquals(List.of(QuotaDecision.DECLINED), decisions);
+    }
+
+    /** Guards against asking a coordinator first that has just not answered. */
+    @Test
+    void aSilentCoordinatorIsAskedSecondForATime() {
+      fleet.time.advance(2_000);
+      String other = outsider();
+      fleet.cut(other, first);
+      fleet.resetCounts();
+      fleet.hosts.get(other).operation();
+      fleet.time.advance(149);
+      assertEquals(0, fleet.grants.size() + fleet.refusals.size());
+      fleet.time.advance(40);
+      fleet.hosts.get(other).operation();
+      fleet.time.advance(40);
+      // The second passes the requests on to the first, which it reaches.
+      assertEquals(0, fleet.refusals.size());
+    }
+  }
+
+  @Nested
+  class Sessions implements QuotaMessages {
+    private final SessionFixture fixture = new SessionFixture(5);
+    private final Member coordinator = new Member("c", "c", "1", "a", 1_000, false);
+    private final QuotaSelection selection = new QuotaSelection(() -> List.of(coordinator));
+    private final QuotaClient client =
+        new QuotaClient(
+            "self",
+            selection,
+            new QuotaCoordinators(
+                "self",
+                selection,
+                () -> fixture.routes,
+                () -> true,
+                this,
+                fixture.time,
+                fixture.time,
+                (event, subject, detail) -> {}),
+            this,
+            0.1,
+            fixture.time,
+            fixture.time,
+            (event, subject, detail) -> {});
+    private final SessionContext context =
+        new SessionContext(
+            () -> fixture.routes,
+            group -> new QuotaExecutor(new LocalExecutor(fixture.router), client),
+            fixture.time,
+            fixture.time,
+            fixture.context.decisions());
+    private final List<Answer> answers = new ArrayList<>();
+    private final List<Consumer<QuotaDecision>> asked = new ArrayList<>();
+    private int givenBack;
+    private final CallerSession session =
+        new CallerSession(
+            context,
+            "till",
+            "key",
+            new CallerConnection() {
+              @Override
+              public void answer(Answer answer) {
+                answers.add(answer);
+              }
+
+              @Override
+              public void close() {}
+            });
+
+    @Override
+    public void ask(Member to, QuotaRequest request, Consumer<QuotaDecision> done) {
+      asked.add(done);
+    }
+
+    @Override
+    public void giveBack(Member to, String organisation, boolean relayed) {
+      givenBack++;
+    }
+
+    @Override
+    public void heartbeat(
+        Member second,
+        String organisation,
+        String sender,
+        long sharedMillis,
+        Consumer<QuotaAcknowledgement> done) {}
+
+    private void limit(RateLimit limit) {
+      Map<String, Organisation> byName = new HashMap<>();
+      byName.put("acme", new Organisation("acme", limit));
+      fixture.routes =
+          new RouteTable(
+              fixture.routes.version() + 1,
+              fixture.routes.routes(),
+              fixture.routes.groups(),
+              fixture.routes.transactionIdleMillis(),
+              new Organisations(byName, Map.of("key", "acme")));
+    }
+
+    private void send(SessionStatement statement) {
+      session.receive(new SessionRequest("q", statement, fixture.time.steadyNanos()));
+    }
+
+    private void decide(QuotaDecision.Kind kind) {
+      asked.get(asked.size() - 1).accept(new QuotaDecision(kind, 40));
+    }
+
+    private AnswerCode lastCode() {
+      return answers.get(answers.size() - 1).code();
+    }
+
+    /** Guards against messages for organisations without a limit. */
+    @Test
+    void withoutALimitNobodyIsAsked() {
+      limit(null);
+      send(new SessionStatement.Read("READ a"));
+      fixture.time.advance(100);
+      assertEquals(AnswerCode.OK, lastCode());
+      assertEquals(List.of(), asked);
+    }
+
+    /** Guards against statements that reach a database before their grant. */
+    @Test
+    void aStatementWaitsForItsGrantAndTakesOne() {
+      limit(new RateLimit(10, 10));
+      send(new SessionStatement.Read("READ a"));
+      fixture.time.advance(20);
+      assertEquals(List.of(), fixture.databases.received);
+      decide(QuotaDecision.Kind.GRANTED);
+      fixture.time.advance(100);
+      assertEquals(AnswerCode.OK, lastCode());
+      assertEquals(1, asked.size());
+      assertEquals(0, givenBack);
+    }
+
+    /** Guards against refusals without the time to come back. */
+    @Test
+    void aRefusalStatesWhenToRetry() {
+      limit(new RateLimit(10, 10));
+      send(new SessionStatement.Read("READ a"));
+      decide(QuotaDecision.Kind.REFUSED);
+      assertEquals(AnswerCode.BUSY, lastCode());
+      assertTrue(answers.get(0).detail().endsWith("retry in 40 ms"), answers.get(0).detail());
+      assertEquals(List.of(), fixture.databases.received);
+    }
+
+    /** Guards against a transaction that takes a grant per statement, or one at its begin. */
+    @Test
+    void aTransactionTakesOneGrantWithItsFirstStatement() {
+      limit(new RateLimit(10, 10));
+      send(new SessionStatement.Begin(false));
+      assertEquals(0, asked.size());
+      send(new SessionStatement.Read("READ a"));
+      decide(QuotaDecision.Kind.GRANTED);
+      fixture.time.advance(100);
+      send(new SessionStatement.Write("WRITE a b"));
+      fixture.time.advance(100);
+      send(new SessionStatement.Commit());
+      fixture.time.advance(100);
+      assertEquals(AnswerCode.OK, lastCode());
+      assertEquals(4, answers.size());
+      assertEquals(1, asked.size());
+    }
+
+    /** Guards against a refused transaction that goes on with its second statement. */
+    @Test
+    void aRefusalFailsTheTransaction() {
+      limit(new RateLimit(10, 10));
+      send(new SessionStatement.Begin(false));
+      send(new SessionStatement.Read("READ a"));
+      decide(QuotaDecision.Kind.REFUSED);
+      assertEquals(AnswerCode.BUSY, lastCode());
+      assertEquals(TransactionState.FAILED, answers.get(1).state());
+      send(new SessionStatement.Commit());
+      assertEquals(AnswerCode.ABORTED, lastCode());
+      assertEquals(List.of(), fixture.databases.received);
+    }
+
+    /** Guards against a budget that loses the operations for which no database was free. */
+    @Test
+    void aGrantOfWhichNothingWasSentIsGivenBack() {
+      limit(new RateLimit(10, 10));
+      fixture.confirmation.withdraw();
+      send(new SessionStatement.Write("WRITE a b"));
+      decide(QuotaDecision.Kind.GRANTED);
+      fixture.time.advance(1_000);
+      assertEquals(AnswerCode.BUSY, lastCode());
+      assertEquals(1, givenBack);
+    }
+
+    /** Guards against grants that are lost with callers who disconnect, and work for nobody. */
+    @Test
+    void aCallerThatDisconnectsWhileItWaitsRunsNothing() {
+      limit(new RateLimit(10, 10));
+      send(new SessionStatement.Write("WRITE a b"));
+      session.callerDisconnected();
+      decide(QuotaDecision.Kind.GRANTED);
+      fixture.time.advance(1_000);
+      assertEquals(List.of(), fixture.databases.received);
+      assertEquals(1, givenBack);
+      assertTrue(session.idle());
+    }
+
+    /** Guards against the same for a transaction, whose first statement waits. */
+    @Test
+    void aCallerThatDisconnectsInATransactionRunsNothing() {
+      limit(new RateLimit(10, 10));
+      send(new SessionStatement.Begin(false));
+      send(new SessionStatement.Write("WRITE a b"));
+      session.callerDisconnected();
+      decide(QuotaDecision.Kind.GRANTED);
+      fixture.time.advance(1_000);
+      assertEquals(List.of(), fixture.databases.received);
+      assertEquals(1, givenBack);
+    }
+
+    /** Guards against a statement that waits for an answer that never comes. */
+    @Test
+    void withoutAnAnswerTheStatementIsRefusedSoon() {
+      limit(new RateLimit(10, 10));
+      send(new SessionStatement.Read("READ a"));
+      fixture.time.advance(149);
+      assertEquals(0, answers.size());
+      fixture.time.advance(2);
+      assertEquals(AnswerCode.BUSY, lastCode());
+      decide(QuotaDecision.Kind.GRANTED);
+      assertEquals(1, givenBack);
+    }
+  }
+
+  @Nested
+  class Bucket {
+    private static final long SECOND = 1_000_000_000;
+
+    @Test
+    void startsEmptyAndFillsUpToItsCapacity() {
+      TokenBucket bucket = new TokenBucket(10, 5, 0);
+      assertFalse(bucket.take(0));
+      assertEquals(100, bucket.millisUntil(1, 0));
+      assertEquals(5, bucket.tokens(10 * SECOND));
+    }
+
+    /** Guards against a lowered limit whose old tokens are still granted. */
+    @Test
+    void aLoweredLimitDropsTokens() {
+      TokenBucket bucket = new TokenBucket(10, 5, 0);
+      bucket.limit(1, 2, SECOND);
+      assertEquals(2, bucket.tokens(SECOND));
+      assertEquals(1_000, bucket.millisUntil(3, SECOND));
+    }
+
+    /** Guards against a time that can't be represented for a rate of 0. */
+    @Test
+    void aRateOfZeroStatesABoundedTime() {
+      assertEquals(10_000, new TokenBucket(0, 0, 0).millisUntil(1, SECOND));
+    }
+  }
+}
