--- a/edge/src/main/java/org/pollenspar/edge/connection/FleetChannel.java
+++ b/edge/src/main/java/org/pollenspar/edge/connection/FleetChannel.java
@@ -18,6 +18,9 @@
 import org.pollenspar.core.connection.ForwardedRequest;
 import org.pollenspar.core.connection.ForwardedWork;
 import org.pollenspar.core.connection.HomeChannel;
+import org.pollenspar.core.connection.QuotaDecision;
+import org.pollenspar.core.connection.QuotaMessages;
+import org.pollenspar.core.connection.QuotaRequest;
 import org.pollenspar.core.connection.SlotPermitRequest;
 import org.pollenspar.wire.fleet.Acknowledgement;
 import org.pollenspar.wire.fleet.FleetEnvelope;
@@ -75,6 +78,7 @@
   private final Map<Long, Consumer<ForwardOutcome>> forwarded = new HashMap<>();
 
   private final ForwardedWork receivedWork;
+  private final QuotaExchange quotas;
   private @Nullable ChannelHandlerContext context;
   private long lastReadNanos;
   private boolean watchingSilence;
@@ -86,6 +90,7 @@
     this.loop = loop;
     this.handler = handler;
     this.receivedWork = handler.acceptForwardedWork();
+    this.quotas = new QuotaExchange(handler::quotas);
   }
 
   @Override
@@ -166,6 +171,23 @@
         ForwardOutcome.Kind.NOT_SENT, "the home host can't be reached; retry in 300 ms");
   }
 
+  /** Asks the coordinator at the other end for one operation; see {@link QuotaMessages#ask}. */
+  void requestQuota(QuotaRequest request, Consumer<@Nullable QuotaDecision> done) {
+    if (failed) {
+      loop.execute(() -> done.accept(null));
+      return;
+    }
+    send(quotas.request(nextId++, request, done));
+    watchSilence();
+  }
+
+  /** Gives a grant back to the coordinator at the other end. */
+  void giveBackQuota(String organisation, boolean relayed) {
+    if (!failed) {
+      send(QuotaCodec.giveBack(organisation, relayed));
+    }
+  }
+
   @Override
   public long nextTransaction() {
     return nextId++;
@@ -195,7 +217,7 @@
     loop.schedule(
         () -> {
           watchingSilence = false;
-          if (forwarded.isEmpty()) {
+          if (forwarded.isEmpty() && quotas.idle()) {
             return;
           }
           if (context != null && !pinging && lastReadNanos - since < 0) {
@@ -223,6 +245,7 @@
   void fail() {
     failed = true;
     failForwarded();
+    quotas.fail();
     receivedWork.close();
     List<Pending> all = new ArrayList<>(pending.values());
     pending.clear();
@@ -278,7 +301,9 @@
   protected void channelRead0(ChannelHandlerContext active, FleetEnvelope message) {
     lastReadNanos = System.nanoTime();
     switch (message.getBodyCase()) {
-      case ACKNOWLEDGEMENT, STORE_ANSWER -> completeRequest(message);
+      case ACKNOWLEDGEMENT, STORE_ANSWER, QUOTA_ACKNOWLEDGEMENT -> completeRequest(message);
+      case QUOTA_REQUEST, QUOTA_DECISION, QUOTA_RETURN, QUOTA_HEARTBEAT ->
+          quotas.received(message, active::writeAndFlush);
       case PING -> acknowledge(active, message, true);
       case REVOKE ->
           handler.revoke(
--- a/edge/src/main/java/org/pollenspar/edge/connection/FleetRequestHandler.java
+++ b/edge/src/main/java/org/pollenspar/edge/connection/FleetRequestHandler.java
@@ -2,6 +2,7 @@
 
 import java.util.function.Consumer;
 import org.pollenspar.core.connection.ForwardedWork;
+import org.pollenspar.core.connection.QuotaService;
 import org.pollenspar.core.connection.SlotPermitRequest;
 import org.pollenspar.core.process.FleetMessages;
 
@@ -48,6 +49,9 @@
   /** Returns the work that a new connection of another host brings. */
   ForwardedWork acceptForwardedWork();
 
+  /** Returns what coordinates the rates of organisations on this host. */
+  QuotaService quotas();
+
   /** Calls the platform's store on behalf of a host that the store doesn't serve. */
   void callPlatform(
       String method, String path, byte[] body, int timeoutMillis, PlatformCallback done);
--- a/edge/src/main/java/org/pollenspar/edge/connection/FleetTransport.java
+++ b/edge/src/main/java/org/pollenspar/edge/connection/FleetTransport.java
@@ -26,6 +26,10 @@
 import org.pollenspar.core.connection.BrokerMessages;
 import org.pollenspar.core.connection.DatabaseEntry;
 import org.pollenspar.core.connection.HomeChannel;
+import org.pollenspar.core.connection.QuotaAcknowledgement;
+import org.pollenspar.core.connection.QuotaDecision;
+import org.pollenspar.core.connection.QuotaMessages;
+import org.pollenspar.core.connection.QuotaRequest;
 import org.pollenspar.core.connection.SlotPermitRequest;
 import org.pollenspar.core.process.FleetMessages;
 import org.pollenspar.core.process.Member;
@@ -50,7 +54,8 @@
  * <p>Not thread-safe: all calls but {@link #listen} must come from the event loop, which also runs
  * all channels.
  */
-public final class FleetTransport implements FleetMessages, BrokerMessages, HomeChannel.Directory {
+public final class FleetTransport
+    implements FleetMessages, BrokerMessages, QuotaMessages, HomeChannel.Directory {
   private static final int CONNECT_TIMEOUT_MS = 600;
   private static final int REQUEST_TIMEOUT_MS = 900;
 
@@ -207,6 +212,31 @@
     return channel(broker.address()).requestPermit(database, permitRequest);
   }
 
+  @Override
+  public void ask(
+      Member coordinator, QuotaRequest request, Consumer<@Nullable QuotaDecision> done) {
+    channel(coordinator.address()).requestQuota(request, done);
+  }
+
+  @Override
+  public void giveBack(Member coordinator, String organisation, boolean relayed) {
+    channel(coordinator.address()).giveBackQuota(organisation, relayed);
+  }
+
+  @Override
+  public void heartbeat(
+      Member second,
+      String organisation,
+      String coordinator,
+      long sharedMillis,
+      Consumer<@Nullable QuotaAcknowledgement> done) {
+    send(
+        second.address(),
+        QuotaCodec.heartbeat(organisation, coordinator, sharedMillis),
+        REQUEST_TIMEOUT_MS,
+        answer -> done.accept(answer == null ? null : QuotaCodec.acknowledgement(answer)));
+  }
+
   @Override
   public HomeChannel channel(Member home) {
     return channel(home.address());
--- a/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
@@ -19,6 +19,8 @@
 import org.pollenspar.core.connection.HomeChannel;
 import org.pollenspar.core.connection.HomeSelection;
 import org.pollenspar.core.connection.PhysicalConnection;
+import org.pollenspar.core.connection.QuotaMessages;
+import org.pollenspar.core.connection.QuotaService;
 import org.pollenspar.core.connection.SessionContext;
 import org.pollenspar.core.connection.SlotBrokers;
 import org.pollenspar.core.process.Clocks;
@@ -82,6 +84,7 @@
    * @param self this host as a member of the fleet
    * @param messages sends requests to other members
    * @param brokerMessages sends permit requests to the brokers on other members
+   * @param quotaExcess fraction of an organisation's rate that hosts may grant beyond it
    * @param homeChannels finds connections to the home hosts of groups
    * @param connector opens connections to databases
    * @param statusDecoder decodes the row that answers {@link DatabaseCommand.Status}; returns null
@@ -94,6 +97,8 @@
       CoordinationStore store,
       FleetMessages messages,
       BrokerMessages brokerMessages,
+      QuotaMessages quotaMessages,
+      double quotaExcess,
       HomeChannel.Directory homeChannels,
       PromotionService promotions,
       PhysicalConnection.Opener connector,
@@ -114,6 +119,7 @@
   private final DatabaseDirectory directory;
   private final SlotBrokers brokers;
   private final BrokerClient permits;
+  private final NodeQuotas quotas;
   private final SessionContext context;
 
   /** Context of the statements that other hosts forward to this host. */
@@ -164,7 +170,6 @@
             dependencies.clocks(),
             dependencies.timers(),
             dependencies.log());
-    int takeoverJitter = Math.floorMod(dependencies.self().name().hashCode(), TAKEOVER_JITTER_MS);
     this.failoverCoordinator =
         new FailoverCoordinator(
             dependencies.store(),
@@ -178,10 +183,11 @@
             dependencies.self().name(),
             authority,
             confirmationRenewer,
-            takeoverJitter);
+            Math.floorMod(dependencies.self().name().hashCode(), TAKEOVER_JITTER_MS));
     this.brokers = new SlotBrokers(dependencies.clocks(), dependencies.timers());
     this.permits = brokerClient();
     this.homes = homeAssigner();
+    this.quotas = new NodeQuotas(dependencies, table, () -> routes, confirmation::holds);
     this.context = sessionContext(DecisionLog.Origin.CALLER);
     this.forwardedContext = sessionContext(DecisionLog.Origin.OTHER_HOST);
     table.listeners(this::membersChanged, failoverCoordinator::acquireLeaseIfFree);
@@ -235,7 +241,7 @@
   private SessionContext sessionContext(DecisionLog.Origin origin) {
     return new SessionContext(
         () -> routes,
-        homes::executor,
+        quotas.executors(origin, homes),
         dependencies.clocks(),
         dependencies.timers(),
         new DecisionLog(origin, dependencies.log(), dependencies.metrics(), dependencies.clocks()));
@@ -315,6 +321,7 @@
       }
     }
     homes.assign();
+    quotas.configurationChanged();
     List.copyOf(sessions).forEach(CallerSession::configurationChanged);
   }
 
@@ -359,6 +366,7 @@
 
   private void membersChanged() {
     permits.membersChanged();
+    quotas.membersChanged();
     homes.schedule();
   }
 
@@ -450,6 +458,11 @@
     return brokers;
   }
 
+  /** Returns what coordinates the rates of organisations on this host. */
+  public QuotaService quotas() {
+    return quotas.service();
+  }
+
   /**
    * Starts to leave the fleet: the host is no longer ready and no longer replaces primaries; new
    * sessions are still served.
--- a/review/lib/Host.java
+++ b/review/lib/Host.java
@@ -53,7 +53,9 @@
             .replace("{{platform.address|json}}", quote("127.0.0.1:" + storePort))
             .replace("{{cloud_api.address|json}}", quote("127.0.0.1:" + promotionPort))
             .replace("{{bounds.config_apply_ms}}", "3000")
-            .replace("{{bounds.grace_s}}", "6");
+            .replace("{{bounds.grace_s}}", "6")
+            // Optional sections, whose values aren't stated here.
+            .replaceAll("(?s)\\{\\{#(.+?)}}.*?\\{\\{/\\1}}\n?", "");
     Files.writeString(settings, text);
     String command =
         Files.readAllLines(root.resolve("deploy/system.toml")).stream()
