--- a/edge/src/main/java/org/pollenspar/edge/process/DecisionLog.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/DecisionLog.java
@@ -64,7 +64,7 @@
   private int loggedSuccesses;
   private int loggedRefusals;
 
-  DecisionLog(Origin origin, EdgeNode.Dependencies dependencies) {
+  DecisionLog(Origin origin, NodeDependencies dependencies) {
     this.origin = origin;
     this.log = dependencies.log();
     this.metrics = dependencies.metrics();
--- a/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
@@ -6,39 +6,29 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 import org.pollenspar.core.connection.BrokerClient;
-import org.pollenspar.core.connection.BrokerMessages;
 import org.pollenspar.core.connection.CallerConnection;
 import org.pollenspar.core.connection.CallerSession;
 import org.pollenspar.core.connection.DatabaseEntry;
 import org.pollenspar.core.connection.ForwardedWork;
 import org.pollenspar.core.connection.ForwardingExecutor;
 import org.pollenspar.core.connection.GroupRouter;
-import org.pollenspar.core.connection.HomeChannel;
 import org.pollenspar.core.connection.HomeSelection;
-import org.pollenspar.core.connection.PhysicalConnection;
+import org.pollenspar.core.connection.QuotaService;
 import org.pollenspar.core.connection.RegionalReads;
 import org.pollenspar.core.connection.SessionContext;
 import org.pollenspar.core.connection.SlotBrokers;
-import org.pollenspar.core.process.Clocks;
 import org.pollenspar.core.process.Confirmation;
 import org.pollenspar.core.process.ConfirmationRenewer;
 import org.pollenspar.core.process.ControlKeys;
 import org.pollenspar.core.process.CoordinationStore;
-import org.pollenspar.core.process.DatabaseControl;
 import org.pollenspar.core.process.FailoverCoordinator;
 import org.pollenspar.core.process.FleetMessages;
 import org.pollenspar.core.process.FleetTable;
-import org.pollenspar.core.process.Member;
 import org.pollenspar.core.process.PrimaryAuthority;
 import org.pollenspar.core.process.PrimaryClaims;
-import org.pollenspar.core.process.PromotionService;
-import org.pollenspar.core.process.Regions;
 import org.pollenspar.core.process.SharedRenewal;
-import org.pollenspar.core.process.Timers;
-import org.pollenspar.core.request.DatabaseCommand;
 import org.pollenspar.core.version.Route;
 import org.pollenspar.core.version.RouteTable;
 
@@ -78,34 +68,7 @@
    */
   private static final int TAKEOVER_JITTER_MS = 400;
 
-  /**
-   * The services and settings that a node is built from.
-   *
-   * @param self this host as a member of the fleet
-   * @param regions regions of all failure domains
-   * @param messages sends requests to other members
-   * @param brokerMessages sends permit requests to the brokers on other members
-   * @param homeChannels finds connections to the home hosts of groups
-   * @param connector opens connections to databases
-   * @param statusDecoder decodes the row that answers {@link DatabaseCommand.Status}; returns null
-   *     if the row can't be decoded
-   */
-  public record Dependencies(
-      Member self,
-      Regions regions,
-      Clocks clocks,
-      Timers timers,
-      CoordinationStore store,
-      FleetMessages messages,
-      BrokerMessages brokerMessages,
-      HomeChannel.Directory homeChannels,
-      PromotionService promotions,
-      PhysicalConnection.Opener connector,
-      Function<String, DatabaseControl.@Nullable DatabaseStatus> statusDecoder,
-      EventLog log,
-      EdgeMetrics metrics) {}
-
-  private final Dependencies dependencies;
+  private final NodeDependencies dependencies;
   private final PrimaryAuthority authority;
   private final Confirmation confirmation;
   private final FleetTable table;
@@ -118,6 +81,7 @@
   private final DatabaseDirectory directory;
   private final SlotBrokers brokers;
   private final BrokerClient permits;
+  private final NodeQuotas quotas;
   private final SessionContext context;
 
   /** Context of the statements that other hosts forward to this host. */
@@ -132,7 +96,7 @@
   private boolean refusing;
 
   /** Creates a node that serves nothing before it has a configuration. */
-  public EdgeNode(Dependencies dependencies) {
+  public EdgeNode(NodeDependencies dependencies) {
     this.dependencies = dependencies;
     this.confirmation = new Confirmation(dependencies.clocks());
     this.authority = new PrimaryAuthority(confirmation);
@@ -168,7 +132,6 @@
             dependencies.clocks(),
             dependencies.timers(),
             dependencies.log());
-    int takeoverJitter = Math.floorMod(dependencies.self().name().hashCode(), TAKEOVER_JITTER_MS);
     this.failoverCoordinator =
         new FailoverCoordinator(
             dependencies.store(),
@@ -182,10 +145,11 @@
             dependencies.self().name(),
             authority,
             confirmationRenewer,
-            takeoverJitter);
+            Math.floorMod(dependencies.self().name().hashCode(), TAKEOVER_JITTER_MS));
     this.brokers = new SlotBrokers(dependencies.clocks(), dependencies.timers());
     this.permits = brokerClient();
     this.homes = homeAssigner();
+    this.quotas = new NodeQuotas(dependencies, table, () -> routes, confirmation::holds);
     this.context = sessionContext(DecisionLog.Origin.CALLER);
     this.forwardedContext = sessionContext(DecisionLog.Origin.OTHER_HOST);
     table.listeners(this::membersChanged, failoverCoordinator::acquireLeaseIfFree);
@@ -243,7 +207,7 @@
   private SessionContext sessionContext(DecisionLog.Origin origin) {
     return new SessionContext(
         () -> routes,
-        homes::executor,
+        quotas.executors(origin, homes),
         dependencies.clocks(),
         dependencies.timers(),
         new DecisionLog(origin, dependencies));
@@ -324,6 +288,7 @@
       }
     }
     homes.assign();
+    quotas.configurationChanged();
     List.copyOf(sessions).forEach(CallerSession::configurationChanged);
   }
 
@@ -368,6 +333,7 @@
 
   private void membersChanged() {
     permits.membersChanged();
+    quotas.membersChanged();
     homes.schedule();
   }
 
@@ -459,6 +425,11 @@
     return brokers;
   }
 
+  /** Returns what coordinates the rates of organisations on this host. */
+  public QuotaService quotas() {
+    return quotas.service();
+  }
+
   /**
    * Starts to leave the fleet: the host is no longer ready and no longer replaces primaries; new
    * sessions are still served.
