--- a/core/src/test/java/org/pollenspar/core/connection/RegionsTest.java
+++ b/core/src/test/java/org/pollenspar/core/connection/RegionsTest.java
@@ -177,7 +177,7 @@
             "self", "a", REGIONS, () -> members, new SlotBrokers(time, time), messages, time, time);
     DatabaseEntry far = SessionFixture.entry("far", "d", false);
     DatabaseEntry near = SessionFixture.entry("near", "b", false);
-    BrokeredAdmission admission = new BrokeredAdmission(client, time);
+    BrokeredAdmission admission = new BrokeredAdmission(client, new ConnectionPoolCounts(), time);
     admission.recordDelay(30e6);
     admission.ask(far, new WaitingRequest(1), started -> {});
     time.advance(1_990);
