core: a follower asks a silent watcher again only once it answers a ping

Cause: a follower asked a watcher that was killed or paused again every 5 s until the member list lacked it. Each time it received no events for the wait plus 500 ms.

Change: after the 5 s it pings the watcher and goes on watching the store itself until the ping is answered.

SharedWatchTest.aWatcherThatStaysSilentDelaysEventsOnce: 60 events in 30 s beside a killed watcher that stays in the list, each within 60 ms.

--- a/core/src/main/java/org/pollenspar/core/process/SharedWatch.java
+++ b/core/src/main/java/org/pollenspar/core/process/SharedWatch.java
@@ -21,8 +21,9 @@
  * watcher has events that the follower lacks.
  *
  * <p>A follower without a positive answer watches the store itself from the same revision for a
- * while. It reads everything again only if the store no longer has the events from there on. It
- * doesn't ask another member instead: by its own member list, that one isn't the watcher.
+ * while, and until the watcher answers a ping: a poll to a silent watcher delays events. It reads
+ * everything again only if the store no longer has the events from there on. It doesn't ask another
+ * member instead: by its own member list, that one isn't the watcher.
  *
  * <p>Not thread-safe: all calls come from the thread that runs the {@link Timers}.
  */
@@ -45,7 +46,7 @@
   /** Added to the wait of a poll or watch before its answer counts as missing. */
   private static final long ANSWER_MARGIN_MS = 500;
 
-  /** How long a follower watches the store itself before it asks the watcher again. */
+  /** How long a follower watches the store itself before it pings the watcher. */
   private static final long FALLBACK_MS = 5_000;
 
   private final CoordinationStore store;
@@ -69,6 +70,7 @@
   private long coalesceMillis;
   private boolean leaving;
   private boolean fallback;
+  private boolean pinging;
   private long fallbackBeganNanos;
   private String loggedRole = "";
   private long pollsServed;
@@ -110,7 +112,7 @@
   public void watch(long afterRevision, Consumer<CoordinationStore.Reply> done) {
     @Nullable Member watcher = watcher();
     logRole(watcher);
-    if (watcher != null && !isSelf(watcher) && !inFallback()) {
+    if (watcher != null && !isSelf(watcher) && !inFallback(watcher)) {
       stopServing();
       coalesceMillis = 0;
       new MemberPoll(watcher, afterRevision, done).send();
@@ -129,8 +131,18 @@
     return watcher != null && watcher.name().equals(self.name());
   }
 
-  private boolean inFallback() {
-    fallback &= millisSince(fallbackBeganNanos) < FALLBACK_MS;
+  /** Returns whether this follower watches the store itself; asks whether the watcher is back. */
+  private boolean inFallback(Member watcher) {
+    if (fallback && !pinging && millisSince(fallbackBeganNanos) >= FALLBACK_MS) {
+      pinging = true;
+      messages.ping(
+          watcher,
+          answered -> {
+            pinging = false;
+            fallback = !answered;
+            fallbackBeganNanos = clocks.steadyNanos();
+          });
+    }
     return fallback;
   }
 
--- a/core/src/test/java/org/pollenspar/core/process/SharedWatchTest.java
+++ b/core/src/test/java/org/pollenspar/core/process/SharedWatchTest.java
@@ -83,6 +83,22 @@
       assertEquals(0, model.watcher().watch.fallbacks());
     }
 
+    /** Guards against followers that ask a silent watcher again and miss events meanwhile. */
+    @Test
+    void aWatcherThatStaysSilentDelaysEventsOnce() {
+      WatchingHost watcher = model.watcher();
+      model.kill(watcher);
+      model.time.advance(1_300);
+      model.longestDelayMillis = 0;
+      for (int i = 0; i < 60; i++) {
+        model.write("k", "v" + i);
+        model.time.advance(500);
+      }
+      assertAllHostsAgreeWithTheStore();
+      assertTrue(model.longestDelayMillis <= 60, "delay in ms: " + model.longestDelayMillis);
+      model.hosts.values().forEach(host -> assertEquals(1, host.watch.fallbacks()));
+    }
+
     @Test
     void aWatcherThatLeavesDeclinesAtOnce() {
       WatchingHost watcher = model.watcher();
--- a/core/src/test/java/org/pollenspar/core/process/WatchFleetModel.java
+++ b/core/src/test/java/org/pollenspar/core/process/WatchFleetModel.java
@@ -200,6 +200,13 @@
               store,
               table,
               new UnusedMessages() {
+                @Override
+                public void ping(Member to, Consumer<Boolean> done) {
+                  WatchingHost other = hosts.get(to.name());
+                  boolean answers = other != null && now() >= other.frozenUntil;
+                  time.after(answers ? 2 : 900, () -> deliver(() -> done.accept(answers)));
+                }
+
                 @Override
                 public void watch(
                     Member to,
