core: an organisation that uses its window evenly isn't refused

Cause: the token bucket has the configured rate and burst, so the burst adds to the first window only, while the platform permits it in each.

Where the platform states the window and the slack, the bucket is filled at (rate x window + burst) / window, and its capacity is the slack and half of the excess. Any window stays within the permitted sum with the other half, which hosts use while no coordinator decides. Without these settings nothing changes.

--- a/core/src/test/java/org/pollenspar/core/connection/QuotaProperties.java
+++ b/core/src/test/java/org/pollenspar/core/connection/QuotaProperties.java
@@ -100,6 +100,7 @@
     return "partition " + inside;
   }
 
+  /** Guards against refusals of an organisation that uses its window up evenly. */
   @Property(tries = 20, seed = "20261206", shrinking = ShrinkingMode.OFF)
   void withoutFaultsNothingBelowTheLimitIsRefused(
       @ForAll @IntRange(max = 1_000_000) int seed,
@@ -107,7 +108,7 @@
     QuotaSimulation fleet = new QuotaSimulation(seed, HOSTS, new RateLimit(rate, rate));
     fleet.load(0.7 * rate, 3_000);
     fleet.resetCounts();
-    fleet.load(0.7 * rate, 20_000);
+    fleet.load(1.1 * rate, 20_000);
     assertEquals(List.of(), fleet.refusals);
     assertNull(fleet.violation());
   }
--- a/core/src/test/java/org/pollenspar/core/connection/QuotaSimulation.java
+++ b/core/src/test/java/org/pollenspar/core/connection/QuotaSimulation.java
@@ -16,6 +16,7 @@
 import org.pollenspar.core.version.Organisation;
 import org.pollenspar.core.version.Organisation.RateLimit;
 import org.pollenspar.core.version.Organisations;
+import org.pollenspar.core.version.QuotaWindow;
 import org.pollenspar.core.version.RouteTable;
 
 /**
@@ -28,6 +29,7 @@
   static final double EXCESS = 0.1;
   static final long WINDOW_MS = 5_000;
   private static final int SLACK = 20;
+  private static final QuotaWindow QUOTA = new QuotaWindow(WINDOW_MS / 1_000.0, SLACK, EXCESS);
   private static final long CONFIRMATION_MS = 6_000;
   private static final long SUSPEND_MS = 3_500;
   private static final long REMOVE_MS = 7_000;
@@ -269,7 +271,7 @@
               selection,
               coordinators,
               this,
-              EXCESS,
+              QUOTA.uncoordinated(),
               time,
               timers(),
               (event, subject, detail) -> events.add(now() + " " + event + " " + detail));
@@ -303,7 +305,9 @@
                 Map.of(),
                 1,
                 new Organisations(
-                    Map.of(ORGANISATION, new Organisation(ORGANISATION, limits.get(newVersion))),
+                    Map.of(
+                        ORGANISATION,
+                        new Organisation(ORGANISATION, QUOTA.granted(limits.get(newVersion)))),
                     Map.of()));
         coordinators.assign();
       }
@@ -316,7 +320,7 @@
       }
       client.ask(
           ORGANISATION,
-          limits.get(version),
+          QUOTA.granted(limits.get(version)),
           version,
           new QuotaClient.Callback() {
             @Override
--- a/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
@@ -270,7 +270,7 @@
             "configuration_in_force",
             String.valueOf(newRoutes.version()),
             newRoutes.routes().size() + " routes, previous version " + routes.version());
-    routes = newRoutes;
+    routes = dependencies.quotaWindow().granted(newRoutes);
     for (String group : newRoutes.groups().keySet()) {
       if (!groupRouters.containsKey(group)) {
         GroupRouter router =
--- a/edge/src/main/java/org/pollenspar/edge/process/NodeDependencies.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/NodeDependencies.java
@@ -15,6 +15,7 @@
 import org.pollenspar.core.process.Regions;
 import org.pollenspar.core.process.Timers;
 import org.pollenspar.core.request.DatabaseCommand;
+import org.pollenspar.core.version.QuotaWindow;
 
 /**
  * The services and settings that an {@link EdgeNode} is built from.
@@ -23,7 +24,7 @@
  * @param regions regions of all failure domains
  * @param messages sends requests to other members
  * @param brokerMessages sends permit requests to the brokers on other members
- * @param quotaExcess fraction of an organisation's rate that hosts may grant beyond it
+ * @param quotaWindow how the platform measures limits on the rates of organisations
  * @param homeChannels finds connections to the home hosts of groups
  * @param connector opens connections to databases
  * @param statusDecoder decodes the row that answers {@link DatabaseCommand.Status}; returns null if
@@ -38,7 +39,7 @@
     FleetMessages messages,
     BrokerMessages brokerMessages,
     QuotaMessages quotaMessages,
-    double quotaExcess,
+    QuotaWindow quotaWindow,
     HomeChannel.Directory homeChannels,
     PromotionService promotions,
     PhysicalConnection.Opener connector,
--- a/edge/src/main/java/org/pollenspar/edge/process/NodeQuotas.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/NodeQuotas.java
@@ -41,7 +41,7 @@
             selection,
             coordinators,
             dependencies.quotaMessages(),
-            dependencies.quotaExcess(),
+            dependencies.quotaWindow().uncoordinated(),
             dependencies.clocks(),
             dependencies.timers(),
             dependencies.log());
