core: replicas answer stale reads while the primary is replaced

Callers saw: reads of bounded and read_your_writes routes refused as BUSY ("no database of group G can run this now") from the moment a change of the primary was known until the new primary had answered, although both replicas were up.

Cause: GroupRouter.primaryChanged removed all samples of the log's end, so no position was known that a replica had to include.

Why the samples still hold: a sample covers all writes that were acknowledged before it was taken. The new primary acknowledges none before all hosts have stopped using the old one, or their confirmations have expired, and a write that the new primary lacks was rolled back. So a sample of the old primary is never later than a write of the new one, and it ages out like any other.

--- a/core/src/main/java/org/pollenspar/core/connection/GroupRouter.java
+++ b/core/src/main/java/org/pollenspar/core/connection/GroupRouter.java
@@ -170,11 +170,13 @@
   }
 
   /**
-   * Clears the log positions of the old primary, because the primary has changed or may no longer
-   * be used. If it is being replaced, also refuses the requests that wait for it.
+   * Refuses the requests that wait for the primary if it is being replaced.
+   *
+   * <p>The log positions that are known stay in use: each covers all writes that were acknowledged
+   * before its sample, whichever database leads later. So replicas answer reads that may be stale
+   * during the change, until the samples are older than the reads permit.
    */
   public void primaryChanged() {
-    positions.clear();
     @Nullable PrimaryRecord record = authority.record(group);
     if (record == null) {
       return;
--- a/core/src/main/java/org/pollenspar/core/connection/PositionHistory.java
+++ b/core/src/main/java/org/pollenspar/core/connection/PositionHistory.java
@@ -13,6 +13,10 @@
  * read that accepts data of a limited age may run on any database whose log includes a sample that
  * is not older than the limit. The oldest such sample is the condition that most replicas meet.
  *
+ * <p>A sample also holds after the primary was replaced. A write that the new primary lacks was
+ * rolled back, and the new primary acknowledges none before the old one may no longer be used, so a
+ * sample of the old one never covers the time of a write of the new one.
+ *
  * <p>At most {@link #MAX_SAMPLES} samples are kept, ordered by time and term. A new sample replaces
  * the latest one if it was sent less than the minimum spacing after the second-latest one.
  */
@@ -72,9 +76,4 @@
     @Nullable Sample last = samples.peekLast();
     return last == null ? null : last.position();
   }
-
-  /** Removes all samples, since those of an old primary say nothing about a new one. */
-  public void clear() {
-    samples.clear();
-  }
 }
