core: a crashed primary is suspected without waiting for old answers

Cause: a member counts a database as reachable if it answered within 700 ms, but members are asked from 200 ms after the first refused probe. So answers from before the crash contradicted it. Besides, the poll waited for the slowest of all members.

Change: only answers of the last 250 ms count without a new status command, and MemberPoll.majority ends as soon as the answers that lack can't change its outcome. MemberPollTest; FleetModelProperties, FailoverCoordinatorTest, PrimaryChangeTest and ConfirmationRenewerTest pass.

--- a/core/src/main/java/org/pollenspar/core/process/FailoverCoordinator.java
+++ b/core/src/main/java/org/pollenspar/core/process/FailoverCoordinator.java
@@ -433,7 +433,7 @@
       return;
     }
     state.askingMembers = true;
-    MemberPoll.count(
+    MemberPoll.majority(
         members,
         (member, answer) ->
             context.messages().reaches(member, record.group(), record.database(), answer),
--- a/edge/src/main/java/org/pollenspar/edge/process/NodeDatabaseControl.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/NodeDatabaseControl.java
@@ -25,8 +25,13 @@
  * <p>Not thread-safe: all calls must come from the event loop.
  */
 public final class NodeDatabaseControl implements DatabaseControl {
-  /** A database that answered within this time counts as reachable without a new request. */
-  private static final long RECENT_ANSWER_MS = 700;
+  /**
+   * A database that answered within this time counts as reachable without a new request. Members
+   * are asked from 200 ms after the first probe that was refused, and an answer from before that
+   * moment must not contradict it: with 700 ms, the replacement of a crashed primary was rejected
+   * once, which cost 1.4 s.
+   */
+  private static final long RECENT_ANSWER_MS = 250;
 
   private final Map<String, GroupRouter> routers;
   private final Supplier<RouteTable> routes;
