core: statements aren't queued behind paused transactions

While paused transactions hold all connections that the host may have, statements are refused at once and those that wait are refused too, reads run at other databases, and a home reports the group as unreachable, so that the next home is tried. Control commands wait as before.

--- a/core/src/main/java/org/pollenspar/core/connection/ConnectionPool.java
+++ b/core/src/main/java/org/pollenspar/core/connection/ConnectionPool.java
@@ -42,6 +42,9 @@
 
   private static final long RATE_LIMIT_POLL_MS = 20;
 
+  private static final String HELD =
+      "held by transactions whose callers pause; retry in 300 ms at another host";
+
   /** Time to open a connection: 12 ms of the database's work, and the way there and back. */
   private static final double OPENING_NANOS = 14e6;
 
@@ -124,11 +127,40 @@
     return retired;
   }
 
-  /** Returns whether the database is in service and not known to be unreachable. */
+  /**
+   * Returns whether the database is in service, not known to be unreachable, and this host may have
+   * a connection for a statement.
+   */
   public boolean usable() {
+    return reachable() && !heldByPausedTransactions();
+  }
+
+  private boolean reachable() {
     return !retired && !opening.unreachable();
   }
 
+  /**
+   * Returns whether paused transactions hold all connections that this host may have. Nobody knows
+   * when they end, which may take the idle time of the configuration, so statements aren't queued
+   * behind them: reads run at other databases, and callers come back to other hosts.
+   */
+  boolean heldByPausedTransactions() {
+    return connections.paused() >= share;
+  }
+
+  /** Records that the caller of the transaction on a connection pauses. */
+  void transactionPaused(PooledDatabaseConnection connection) {
+    connections.paused(connection, true);
+    if (heldByPausedTransactions()) {
+      refuse(queue.drainCallers(), ConnectionPoolCounts.Refusal.HELD, HELD);
+    }
+  }
+
+  /** Records that a transaction which was paused goes on or ends. */
+  void transactionResumed(PooledDatabaseConnection connection) {
+    connections.paused(connection, false);
+  }
+
   /**
    * Returns the expected time until a new request of a rank and organisation is answered, in
    * nanoseconds.
@@ -182,10 +214,14 @@
    * is withdrawn first.
    */
   public void acquire(ConnectionRequest request) {
-    if (!usable()) {
+    if (!reachable()) {
       refuse(request, ConnectionPoolCounts.Refusal.UNREACHABLE, "unreachable");
       return;
     }
+    if (request.priority() >= 0 && heldByPausedTransactions()) {
+      refuse(request, ConnectionPoolCounts.Refusal.HELD, HELD);
+      return;
+    }
     if (admission.permitNeeded(request.priority())) {
       admission.ask(entry, request, this::startPermitted);
     } else if (!startNow(request)) {
@@ -197,7 +233,7 @@
    * Starts or queues a request that has a permit, or goes on without because no broker answered.
    */
   private void startPermitted(ConnectionRequest request) {
-    if (!usable()) {
+    if (!reachable()) {
       refuse(request, ConnectionPoolCounts.Refusal.UNREACHABLE, "unreachable");
     } else if (!startNow(request)) {
       if (request instanceof PermittedRequest withPermit) {
--- a/core/src/main/java/org/pollenspar/core/connection/ConnectionPoolCounts.java
+++ b/core/src/main/java/org/pollenspar/core/connection/ConnectionPoolCounts.java
@@ -11,6 +11,8 @@
     UNREACHABLE,
     /** The expected wait, here or at the broker, exceeds what the request can wait. */
     OVERLOADED,
+    /** Paused transactions hold all connections of this host. */
+    HELD,
     /** The database's connection limit is used up. */
     OUT_OF_CONNECTIONS,
     /** The database is taken out of service or replaced as the primary. */
--- a/core/src/main/java/org/pollenspar/core/connection/ConnectionRequestQueue.java
+++ b/core/src/main/java/org/pollenspar/core/connection/ConnectionRequestQueue.java
@@ -152,6 +152,21 @@
     return all;
   }
 
+  /** Removes and returns all requests of callers; those of control commands stay. */
+  List<ConnectionRequest> drainCallers() {
+    List<ConnectionRequest> drained = new ArrayList<>();
+    for (int rank : ranks()) {
+      for (String organisation : rank < 0 ? Set.<String>of() : organisations(rank)) {
+        for (@Nullable ConnectionRequest next = poll(rank, organisation);
+            next != null;
+            next = poll(rank, organisation)) {
+          drained.add(next);
+        }
+      }
+    }
+    return drained;
+  }
+
   /** Removes and returns all requests of an organisation. */
   List<ConnectionRequest> drain(String organisation) {
     List<ConnectionRequest> all = new ArrayList<>();
--- a/core/src/main/java/org/pollenspar/core/connection/PooledConnections.java
+++ b/core/src/main/java/org/pollenspar/core/connection/PooledConnections.java
@@ -30,6 +30,9 @@
   /** Idle connections; those that were released last come first. */
   private final ArrayDeque<PooledDatabaseConnection> idle = new ArrayDeque<>();
 
+  /** Connections of open transactions whose callers pause. */
+  private final Set<PooledDatabaseConnection> paused = new HashSet<>();
+
   private final Map<String, Counts> organisations = new HashMap<>();
   private int opening;
   private long grants;
@@ -70,6 +73,21 @@
     if (idle.remove(connection)) {
       counts(connection.organisation()).idle--;
     }
+    paused.remove(connection);
+  }
+
+  /** Sets whether a connection, which is in use, is held by a paused transaction. */
+  void paused(PooledDatabaseConnection connection, boolean isPaused) {
+    if (isPaused && open.contains(connection)) {
+      paused.add(connection);
+    } else {
+      paused.remove(connection);
+    }
+  }
+
+  /** Returns the number of connections that are held by paused transactions. */
+  int paused() {
+    return paused.size();
   }
 
   /** Removes and returns the idle connections that fulfil a condition. */
--- a/core/src/main/java/org/pollenspar/core/connection/SessionTransaction.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SessionTransaction.java
@@ -36,6 +36,7 @@
   private final boolean readOnly;
   private final @Nullable Position lastCommitPosition;
   private final Set<ConnectionPool> excluded = new HashSet<>();
+  private final TransactionPause pause;
   private @Nullable PooledDatabaseConnection connection;
   private boolean atPrimary;
   private long term;
@@ -47,7 +48,6 @@
   private boolean restoredInTransaction;
   private int openAttempts;
   private @Nullable RunningStatement current;
-  private Timers.@Nullable Timer idleTimer;
 
   SessionTransaction(
       SessionContext context,
@@ -62,6 +62,7 @@
     this.sessionState = sessionState;
     this.readOnly = readOnly;
     this.lastCommitPosition = lastCommitPosition;
+    this.pause = new TransactionPause(context);
   }
 
   @Override
@@ -81,7 +82,7 @@
 
   @Override
   public void run(SessionRequest request, Consumer<Answer> done) {
-    stopIdleTimer();
+    pause.end();
     RunningStatement statement = new RunningStatement(request, done);
     current = statement;
     statement.start();
@@ -90,17 +91,10 @@
   @Override
   public void rollback() {
     failed = true;
-    stopIdleTimer();
+    pause.end();
     release();
   }
 
-  private void stopIdleTimer() {
-    if (idleTimer != null) {
-      idleTimer.cancel();
-      idleTimer = null;
-    }
-  }
-
   @Override
   public void abandon() {
     abandoned = true;
@@ -144,19 +138,6 @@
         });
   }
 
-  private void startIdleTimer() {
-    idleTimer =
-        context
-            .timers()
-            .after(
-                context.routes().get().transactionIdleMillis(),
-                () -> {
-                  idleTimer = null;
-                  failed = true;
-                  release();
-                });
-  }
-
   /** The statement of the transaction that runs; it requests the connection if none is held. */
   private final class RunningStatement implements ConnectionRequest {
     private final SessionRequest request;
@@ -489,7 +470,12 @@
       if (failed || abandoned) {
         release();
       } else {
-        startIdleTimer();
+        pause.begin(
+            connection,
+            () -> {
+              failed = true;
+              release();
+            });
       }
       context.decisions().answered(request, route, pool, openAttempts, answer);
       done.accept(answer);
