core: a key that is removed together with the route ends its transaction

Callers saw that an open transaction went on, and committed, under a key that no organisation held any more, if one version of the configuration removed the key and the route of the session together.

Cause: CallerSession.transactionAdmitted returned true without a look at the key if the session's route didn't exist.

Change: the session keeps the route under which the transaction was opened. Without a present route, that one says whether a key is needed, and the key is looked up in the organisations in force as if the route were there. Transactions of a public route and those whose key is still held by the same organisation go on.

Evidence: SessionAccessTest.aTransactionEndsWhenItsKeyIsTakenAwayWithItsRoute failed before, for a key that nobody holds and for one that moved: no rollback was sent (line 85: expected: <true> but was: <false>; 2 of 9 tests failed). Passes now, with CallerSessionTest and SessionClosingTest.

--- a/core/src/main/java/org/pollenspar/core/connection/CallerSession.java
+++ b/core/src/main/java/org/pollenspar/core/connection/CallerSession.java
@@ -50,8 +50,11 @@
   private @Nullable SessionRequest current;
   private StatementExecutor.@Nullable OpenTransaction transaction;
 
-  /** Group of the last transaction that was opened; a route may move while one is open. */
-  private String transactionGroup = "";
+  /**
+   * Route under which the last transaction was opened; the route may move or be removed while one
+   * is open.
+   */
+  private @Nullable Route transactionRoute;
 
   private StatementExecutor.@Nullable StatementExecution singleStatement;
 
@@ -238,9 +241,13 @@
     }
   }
 
-  /** Returns whether the open transaction still runs for the organisation that holds the key. */
+  /**
+   * Returns whether the open transaction still runs for the organisation that holds the key. If its
+   * route was removed, the route under which it was opened says whether it needs a key.
+   */
   private boolean transactionAdmitted() {
-    @Nullable Route route = context.routes().get().route(database);
+    @Nullable Route present = context.routes().get().route(database);
+    @Nullable Route route = present != null ? present : transactionRoute;
     return route == null || sessionState.organisation().equals(organisation(route));
   }
 
@@ -276,8 +283,9 @@
       SessionRequest request, StatementExecutor.OpenTransaction open, Answer answer) {
     if (request.statement() instanceof SessionStatement.Commit) {
       transaction = null;
-      if (answer.ok() && open.wrote()) {
-        commits.committed(transactionGroup, answer.position());
+      @Nullable Route opened = transactionRoute;
+      if (answer.ok() && open.wrote() && opened != null) {
+        commits.committed(opened.group(), answer.position());
       }
     }
     finish(request, answer);
@@ -297,7 +305,7 @@
       return;
     }
     sessionState.organisation(organisation);
-    transactionGroup = route.group();
+    transactionRoute = route;
     transaction =
         executor.transaction(
             context,
--- a/core/src/test/java/org/pollenspar/core/connection/SessionAccessTest.java
+++ b/core/src/test/java/org/pollenspar/core/connection/SessionAccessTest.java
@@ -5,6 +5,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -71,14 +72,57 @@
     assertTrue(!anyForward());
   }
 
+  /** Guards against a transaction that goes on under a key that was removed with its route. */
+  @ParameterizedTest
+  @ValueSource(strings = {"", "globex"})
+  void aTransactionEndsWhenItsKeyIsTakenAwayWithItsRoute(String newHolder) {
+    caller.begin();
+    caller.write("1");
+    fixture.organisations(newHolder.isEmpty() ? Map.of() : Map.of("k1", newHolder));
+    route(null);
+    caller.session.configurationChanged();
+    fixture.time.advance(20);
+    assertTrue(fixture.databases.commands("p").contains(new DatabaseCommand.Rollback()));
+    fixture.databases.received.clear();
+    Answer answer = caller.commit();
+    assertEquals(AnswerCode.DENIED, answer.code());
+    assertEquals(TransactionState.IDLE, answer.state());
+    assertTrue(!anyForward());
+  }
+
+  /** Guards against rolling back transactions that only lost their route. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void aTransactionGoesOnWithoutItsRouteWhileItsKeyIsHeldOrItNeedsNone(boolean isPublic) {
+    var used = isPublic ? fixture.caller(DATABASE, "unknown") : caller;
+    route(routeOf(isPublic));
+    used.begin();
+    used.write("1");
+    route(null);
+    used.session.configurationChanged();
+    assertEquals(AnswerCode.OK, used.commit().code());
+  }
+
   @Test
   void aPublicRouteNeedsNoKey() {
+    route(routeOf(true));
+    assertEquals(AnswerCode.OK, fixture.caller(DATABASE).write("1").code());
+  }
+
+  private static Route routeOf(boolean isPublic) {
+    return new Route(
+        DATABASE, DATABASE, SessionFixture.GROUP, RouteKind.PRIMARY, 0, 800, 150, 0, isPublic);
+  }
+
+  /** Applies a configuration with another route of the database, or without one. */
+  private void route(@Nullable Route route) {
     RouteTable old = fixture.routes;
     Map<String, Route> routes = new HashMap<>(old.routes());
-    routes.put(
-        DATABASE,
-        new Route(
-            DATABASE, DATABASE, SessionFixture.GROUP, RouteKind.PRIMARY, 0, 800, 150, 0, true));
+    if (route == null) {
+      routes.remove(DATABASE);
+    } else {
+      routes.put(DATABASE, route);
+    }
     fixture.routes =
         new RouteTable(
             old.version() + 1,
@@ -86,6 +130,5 @@
             old.groups(),
             old.transactionIdleMillis(),
             old.organisations());
-    assertEquals(AnswerCode.OK, fixture.caller(DATABASE).write("1").code());
   }
 }
