core: a replaced coordinator that is cut off shares the rate

Callers of an organisation got more operations than its limit permits, for up to 6 s, if a coordinator was cut off and less than 750 ms later replaced by a host that joined.

Cause: the remaining coordinator counted a replaced one as silent only if it hadn't heard it for 750 ms at that moment. One that was cut off a little earlier went on granting, half of the rate as a second and the whole as a first, until it was suspended or its confirmation expired, beside the remaining one and the successor.

Change: FormerCoordinators records each coordinator that is replaced beside this host. The remaining one goes on sending heartbeats to it. The record ends when the replaced one answers that it has no budget of the organisation, isn't a member any more (a host withdraws its confirmation before it removes itself), or after 6.5 s. A replaced second counts as harmless while its last promise is younger than 750 ms, which is the rule for the present second too, so a replacement of a host that answers costs nothing. After that the first grants half. A replaced first is harmless only once it has answered: until then the second lets the successor have half of the rate, and nothing within 750 ms of the last heartbeat of the replaced one. Heartbeats are sent each 50 ms while such an answer, or the first one of a new coordinator's partner, is due. The messages on the wire are unchanged.

--- a/core/src/main/java/org/pollenspar/core/connection/QuotaCoordinator.java
+++ b/core/src/main/java/org/pollenspar/core/connection/QuotaCoordinator.java
@@ -1,10 +1,11 @@
 package org.pollenspar.core.connection;
 
 import java.util.Objects;
+import java.util.Set;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 import org.pollenspar.core.process.ClockReading;
 import org.pollenspar.core.process.Clocks;
-import org.pollenspar.core.process.Confirmation;
 import org.pollenspar.core.process.ControlListener;
 import org.pollenspar.core.version.Organisation.RateLimit;
 
@@ -30,8 +31,12 @@
  * the rate for this time, and grants nothing if both former coordinators are suspended. Before they
  * are suspended, both may be cut off together and still grant the whole rate. So a host that has
  * become a coordinator grants nothing until it has heard the other one, or until the confirmations
- * of all hosts that were cut off before must have expired. For the same time, the rate is limited
- * to half after a coordinator was replaced that the remaining one no longer heard.
+ * of all hosts that were cut off before must have expired.
+ *
+ * <p>A coordinator that is replaced by a host that joins may be cut off too. The remaining one asks
+ * it until it acknowledges that it coordinates no longer ({@link FormerCoordinators}), and counts
+ * it as one that grants half of the rate while it is silent. While a former first may grant the
+ * whole rate, the remaining one follows nobody, so that the new first grants nothing yet.
  */
 final class QuotaCoordinator {
   /** Age of the second's promise from which on the first grants at half of the rate. */
@@ -40,9 +45,6 @@
   /** Silence of the first after which the second grants at half of the rate. */
   private static final long SECOND_SILENCE_MS = 1_500;
 
-  /** Time after which a host that was cut off earlier has no confirmation any more. */
-  private static final long CUT_OFF_MS = Confirmation.VALID_MS + 500;
-
   /** Bound of the time to come back that is stated to many refused operations at once. */
   private static final double MAX_RETRY_SECONDS = 1;
 
@@ -87,7 +89,9 @@
   /** When the present other coordinator became that. */
   private ClockReading otherSince;
 
-  /** From when and for how long a replaced coordinator, which was silent, may still grant. */
+  private final FormerCoordinators former;
+
+  /** From when and for how long a host may still grant, by what the first coordinator said. */
   private ClockReading sharedSince;
 
   private long sharedMillis;
@@ -116,16 +120,22 @@
     this.askedAt = createdAt;
     this.otherSince = createdAt;
     this.sharedSince = createdAt;
+    this.former = new FormerCoordinators(clocks, FIRST_SILENCE_MS);
   }
 
-  /** Sets this host's place, the other coordinator and the number of suspended predecessors. */
-  void assign(Role newRole, @Nullable String newOther, int newSuspendedBefore) {
+  /**
+   * Sets this host's place, the other coordinator and the number of suspended predecessors.
+   *
+   * @param members whether a host of a name is a member, active or suspended
+   */
+  void assign(
+      Role newRole, @Nullable String newOther, int newSuspendedBefore, Predicate<String> members) {
     refresh();
     boolean otherChanged = !Objects.equals(other, newOther);
-    boolean replaced = role != null && other != null && (newRole != role || otherChanged);
-    if (replaced && otherSilent() && otherSince.ageMillis(clocks) >= FIRST_SILENCE_MS) {
-      sharedFor(CUT_OFF_MS);
+    if (otherChanged) {
+      otherReplaced(newRole, newOther);
     }
+    former.retain(members);
     if (newRole != role) {
       heardAt = newRole == Role.SECOND ? ClockReading.now(clocks) : null;
       listener.changed(
@@ -145,6 +155,43 @@
     refresh();
   }
 
+  private void otherReplaced(Role newRole, @Nullable String newOther) {
+    if (other != null) {
+      @Nullable ClockReading heard = heardAt;
+      boolean heardSince = heard != null && heard.steadyNanos() > otherSince.steadyNanos();
+      // A host that became a coordinator lately grants nothing yet, so its age is evidence too.
+      former.replaced(other, role == Role.SECOND, heard != null && heardSince ? heard : otherSince);
+    }
+    if (newOther != null && former.contains(newOther)) {
+      if (role == Role.FIRST && newRole == Role.FIRST) {
+        heardAt = former.promiseOf(newOther);
+      }
+      former.forget(newOther);
+    }
+  }
+
+  /** Returns the names of replaced coordinators that may not know it and have to be asked. */
+  Set<String> formerCoordinators() {
+    return former.names();
+  }
+
+  /** Records the answer of a replaced coordinator to a heartbeat. */
+  void formerAnswered(String name, ClockReading sentAt, QuotaAcknowledgement answer) {
+    if (answer.follows()) {
+      former.promised(name, sentAt);
+    } else if (answer.epoch() == QuotaAcknowledgement.NO_EPOCH) {
+      former.forget(name);
+    }
+    refresh();
+  }
+
+  /** Returns whether answers are due that decide whether, or at which rate, this host grants. */
+  boolean awaitsAnswers() {
+    boolean unheard = role == Role.FIRST && other != null && !heardAny;
+    return former.anyYoungerThan(FIRST_SILENCE_MS)
+        || (unheard && createdAt.ageMillis(clocks) < SECOND_SILENCE_MS);
+  }
+
   /** Applies the figures of a configuration, unless those of a later version are known. */
   void limit(RateLimit newLimit, long newVersion) {
     if (newVersion <= version) {
@@ -210,6 +257,9 @@
     if (role != Role.SECOND || !sender.equals(other)) {
       return false;
     }
+    if (former.anyAtFullRate()) {
+      return false;
+    }
     sharedFor(senderShared);
     heardAt = ClockReading.now(clocks);
     heardAny = true;
@@ -248,6 +298,10 @@
   }
 
   private void refresh() {
+    if (former.sharedMillis() > 0) {
+      // The former coordinator may grant these.
+      setAside = 0;
+    }
     Mode next = nextMode();
     if (next == mode) {
       return;
@@ -274,17 +328,21 @@
   }
 
   private void sharedFor(long millisFromNow) {
-    if (millisFromNow > sharedMillis()) {
+    if (millisFromNow > statedSharedMillis()) {
       sharedSince = ClockReading.now(clocks);
       sharedMillis = millisFromNow;
     }
   }
 
-  /** Returns for how long a host that was replaced while it was silent may still grant. */
-  long sharedMillis() {
+  private long statedSharedMillis() {
     return Math.max(0, sharedMillis - sharedSince.ageMillis(clocks));
   }
 
+  /** Returns for how long a replaced coordinator that is silent may still grant. */
+  long sharedMillis() {
+    return Math.max(statedSharedMillis(), former.sharedMillis());
+  }
+
   private Mode nextMode() {
     if (role == null) {
       return Mode.FOLLOWING;
@@ -294,9 +352,13 @@
       return Mode.FOLLOWING;
     }
     boolean mayHavePredecessors = other != null || suspendedBefore > 0;
-    boolean unheard = mayHavePredecessors && !heardAny && createdAt.ageMillis(clocks) < CUT_OFF_MS;
+    boolean unheard =
+        mayHavePredecessors
+            && !heardAny
+            && createdAt.ageMillis(clocks) < FormerCoordinators.CUT_OFF_MS;
     boolean shared = suspendedBefore > 0 || sharedMillis() > 0;
-    if (unheard || suspendedBefore > 1 || (shared && role == Role.SECOND)) {
+    boolean barred = former.anyAtFullRate() || suspendedBefore > 1;
+    if (unheard || barred || (shared && role == Role.SECOND)) {
       return Mode.BARRED;
     }
     boolean promised = other == null || (role == Role.FIRST && !otherSilent());
--- a/core/src/main/java/org/pollenspar/core/connection/QuotaCoordinators.java
+++ b/core/src/main/java/org/pollenspar/core/connection/QuotaCoordinators.java
@@ -31,6 +31,12 @@
 public final class QuotaCoordinators implements QuotaService {
   private static final long HEARTBEAT_MS = 250;
 
+  /**
+   * Interval of heartbeats while this host grants nothing, or may soon have to grant less, until a
+   * new or replaced coordinator has answered.
+   */
+  private static final long SHORT_HEARTBEAT_MS = 50;
+
   /**
    * Heartbeats stop if no request came for this time. After a pause, half of the burst isn't
    * available for one round trip, so the time is long against the gaps between requests.
@@ -147,11 +153,12 @@
     if (coordinator == null || !(self.equals(first) || self.equals(second))) {
       return null;
     }
-    if (self.equals(first)) {
-      coordinator.assign(QuotaCoordinator.Role.FIRST, second, chosen.suspendedBefore());
-    } else {
-      coordinator.assign(QuotaCoordinator.Role.SECOND, first, chosen.suspendedBefore());
-    }
+    boolean isFirst = self.equals(first);
+    coordinator.assign(
+        isFirst ? QuotaCoordinator.Role.FIRST : QuotaCoordinator.Role.SECOND,
+        isFirst ? second : first,
+        chosen.suspendedBefore(),
+        member -> selection.member(member) != null);
     return coordinator;
   }
 
@@ -237,7 +244,7 @@
     }
     done.accept(
         known == null
-            ? new QuotaAcknowledgement(follows, true, 0)
+            ? new QuotaAcknowledgement(follows, true, QuotaAcknowledgement.NO_EPOCH)
             : new QuotaAcknowledgement(follows, known.sharedMillis() == 0, known.epoch()));
   }
 
@@ -256,7 +263,29 @@
       assign();
     }
     coordinators.forEach(this::sendHeartbeat);
-    timers.after(HEARTBEAT_MS, this::tick);
+    coordinators.forEach(this::askFormer);
+    boolean soon = coordinators.values().stream().anyMatch(QuotaCoordinator::awaitsAnswers);
+    timers.after(soon ? SHORT_HEARTBEAT_MS : HEARTBEAT_MS, this::tick);
+  }
+
+  /** Asks replaced coordinators whether they know that they are; see {@link FormerCoordinators}. */
+  private void askFormer(String organisation, QuotaCoordinator coordinator) {
+    for (String name : coordinator.formerCoordinators()) {
+      @Nullable Member member = selection.member(name);
+      if (member != null) {
+        ClockReading sentAt = ClockReading.now(clocks);
+        messages.heartbeat(
+            member,
+            organisation,
+            self,
+            coordinator.sharedMillis(),
+            answer -> {
+              if (answer != null) {
+                coordinator.formerAnswered(name, sentAt, answer);
+              }
+            });
+      }
+    }
   }
 
   private void sendHeartbeat(String organisation, QuotaCoordinator coordinator) {
--- a/core/src/main/java/org/pollenspar/core/connection/QuotaSelection.java
+++ b/core/src/main/java/org/pollenspar/core/connection/QuotaSelection.java
@@ -41,6 +41,16 @@
     known.clear();
   }
 
+  /** Returns the member of a name, active or suspended; null if there is none. */
+  @Nullable Member member(String name) {
+    for (Member each : members.get()) {
+      if (each.name().equals(name)) {
+        return each;
+      }
+    }
+    return null;
+  }
+
   int memberCount() {
     return Math.max(1, members.get().size());
   }
--- a/core/src/test/java/org/pollenspar/core/connection/QuotaSimulation.java
+++ b/core/src/test/java/org/pollenspar/core/connection/QuotaSimulation.java
@@ -102,12 +102,15 @@
     publish();
   }
 
+  static Member member(String name) {
+    return new Member(name, name, "1", "d" + name.charAt(name.length() - 1) % 3, 1_000, false);
+  }
+
   private void register(String name) {
     if (withoutStore.contains(name)) {
       return;
     }
-    String domain = "d" + name.charAt(name.length() - 1) % 3;
-    records.put(name, new Member(name, name, "1", domain, 1_000, false));
+    records.put(name, member(name));
     suspendedAt.remove(name);
     seenAt.put(name, now());
     publish();
--- a/core/src/test/java/org/pollenspar/core/connection/QuotaTest.java
+++ b/core/src/test/java/org/pollenspar/core/connection/QuotaTest.java
@@ -13,6 +13,8 @@
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.pollenspar.core.process.Member;
 import org.pollenspar.core.request.Answer;
 import org.pollenspar.core.request.AnswerCode;
@@ -113,6 +115,56 @@
       assertNull(fleet.violation());
     }
 
+    /** Returns a host whose start replaces one coordinator and leaves the other in its place. */
+    private String successor(boolean ofFirst) {
+      for (int i = 100; ; i++) {
+        String name = "h" + i;
+        List<Member> members = new ArrayList<>();
+        fleet.hosts.keySet().forEach(each -> members.add(QuotaSimulation.member(each)));
+        members.add(QuotaSimulation.member(name));
+        QuotaSelection.Coordinators chosen =
+            new QuotaSelection(() -> members).of(QuotaSimulation.ORGANISATION);
+        String newFirst = chosen.first().name();
+        String newSecond = chosen.second().name();
+        if (newFirst.equals(ofFirst ? name : first) && newSecond.equals(ofFirst ? second : name)) {
+          return name;
+        }
+      }
+    }
+
+    /** Guards against a second that is cut off, replaced, and grants beside the whole rate. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aCoordinatorThatIsCutOffAndReplacedSharesTheRate(boolean ofFirst) {
+      String replaced = ofFirst ? first : second;
+      fleet.load(3 * RATE, 5_000);
+      String beside = outsider();
+      fleet.hosts.keySet().stream()
+          .filter(name -> !name.equals(replaced) && !name.equals(beside))
+          .forEach(name -> fleet.cut(replaced, name));
+      fleet.withoutStore.add(replaced);
+      String successor = successor(ofFirst);
+      fleet.start(successor);
+      fleet.cut(replaced, successor);
+      fleet.time.advance(200);
+      fleet.load(8 * RATE, 4_000);
+      assertTrue(fleet.grantsByHost.containsKey(replaced), "the replaced one grants nothing");
+      assertNull(fleet.violation());
+    }
+
+    /** Guards against a replacement of a healthy coordinator that costs half of the rate. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aReplacementOfACoordinatorThatAnswersCostsLittle(boolean ofFirst) {
+      fleet.load(3 * RATE, 5_000);
+      fleet.start(successor(ofFirst));
+      fleet.load(3 * RATE, 1_000);
+      // The bucket is filled at 110 per second, of which half would be 55.
+      assertBetween(100, 120, grantsIn(1_000, 3 * RATE));
+      fleet.load(3 * RATE, 4_000);
+      assertNull(fleet.violation());
+    }
+
     /** Guards against figures that wait for a new coordinator or a full bucket. */
     @Test
     void changedFiguresApplyAtOnce() {
