core: a key that is removed during the wait for a grant is denied

Cause: the key was looked up only before the request for the grant.

Change: the session state tells whether the caller's key still admits it to its organisation. QuotaStatement and QuotaTransaction ask that when the grant comes, give the grant back and answer DENIED. A statement that is refused after its key was removed gets DENIED as well, instead of a time to come back. A transaction fails so, and its next statement ends it, as when the key is removed between two statements.

--- a/core/src/main/java/org/pollenspar/core/connection/CallerSession.java
+++ b/core/src/main/java/org/pollenspar/core/connection/CallerSession.java
@@ -38,7 +38,7 @@
 
   private static final long NANOS_PER_MILLI = 1_000_000;
 
-  private static final String DENIED =
+  static final String DENIED =
       "no organisation holds the key of this session; connect with a key that is configured";
 
   private final SessionContext context;
@@ -51,10 +51,10 @@
   private StatementExecutor.@Nullable OpenTransaction transaction;
 
   /**
-   * Route under which the last transaction was opened; the route may move or be removed while one
-   * is open.
+   * Route under which the last transaction was opened or the last single statement was started; it
+   * may move or be removed while that goes on.
    */
-  private @Nullable Route transactionRoute;
+  private @Nullable Route startedRoute;
 
   private StatementExecutor.@Nullable StatementExecution singleStatement;
 
@@ -82,6 +82,7 @@
     this.key = key;
     this.connection = connection;
     this.lastTrafficNanos = context.clocks().steadyNanos();
+    sessionState.admission(this::admitted);
   }
 
   /** Records that a part of a statement has arrived, whose rest is on its way. */
@@ -236,24 +237,25 @@
   /** Applies a new version of the configuration, which may have taken the caller's key away. */
   public void configurationChanged() {
     StatementExecutor.@Nullable OpenTransaction open = transaction;
-    if (open != null && current == null && !open.failed() && !transactionAdmitted()) {
+    if (open != null && current == null && !open.failed() && !admitted()) {
       open.rollback();
     }
   }
 
   /**
-   * Returns whether the open transaction still runs for the organisation that holds the key. If its
-   * route was removed, the route under which it was opened says whether it needs a key.
+   * Returns whether the open transaction or the statement still runs for the organisation that
+   * holds the key. If its route was removed, the route under which it was started says whether it
+   * needs a key.
    */
-  private boolean transactionAdmitted() {
+  private boolean admitted() {
     @Nullable Route present = context.routes().get().route(database);
-    @Nullable Route route = present != null ? present : transactionRoute;
+    @Nullable Route route = present != null ? present : startedRoute;
     return route == null || sessionState.organisation().equals(organisation(route));
   }
 
   private void startInTransaction(SessionRequest request, StatementExecutor.OpenTransaction open) {
     SessionStatement statement = request.statement();
-    if (!transactionAdmitted() && !(statement instanceof SessionStatement.Rollback)) {
+    if (!admitted() && !(statement instanceof SessionStatement.Rollback)) {
       open.rollback();
       transaction = null;
       refuse(request, AnswerCode.DENIED, DENIED);
@@ -283,7 +285,7 @@
       SessionRequest request, StatementExecutor.OpenTransaction open, Answer answer) {
     if (request.statement() instanceof SessionStatement.Commit) {
       transaction = null;
-      @Nullable Route opened = transactionRoute;
+      @Nullable Route opened = startedRoute;
       if (answer.ok() && open.wrote() && opened != null) {
         commits.committed(opened.group(), answer.position());
       }
@@ -305,7 +307,7 @@
       return;
     }
     sessionState.organisation(organisation);
-    transactionRoute = route;
+    startedRoute = route;
     transaction =
         executor.transaction(
             context,
@@ -357,6 +359,7 @@
       return;
     }
     sessionState.organisation(organisation);
+    startedRoute = route;
     Route used = commits.routeFor(route);
     StatementExecutor.StatementExecution run =
         executor.statement(
--- a/core/src/main/java/org/pollenspar/core/connection/QuotaStatement.java
+++ b/core/src/main/java/org/pollenspar/core/connection/QuotaStatement.java
@@ -11,7 +11,8 @@
 
 /**
  * A statement outside a transaction that needs a grant of its organisation's limit. The wait for
- * the grant counts towards the time limit of the statement.
+ * the grant counts towards the time limit of the statement. The caller's key may be removed
+ * meanwhile, so it is checked again before the statement is sent.
  */
 final class QuotaStatement implements StatementExecutor.StatementExecution {
   private static final long NANOS_PER_MILLI = 1_000_000;
@@ -62,7 +63,12 @@
             new QuotaClient.Callback() {
               @Override
               public void granted(Runnable giveBack) {
-                run(giveBack);
+                if (sessionState.admitted()) {
+                  run(giveBack);
+                } else {
+                  giveBack.run();
+                  end(CallerSession.DENIED);
+                }
               }
 
               @Override
@@ -125,7 +131,10 @@
     if (withdraw != null) {
       withdraw.run();
     }
-    Answer answer = Answer.error(AnswerCode.BUSY, reason, TransactionState.IDLE);
+    Answer answer =
+        sessionState.admitted()
+            ? Answer.error(AnswerCode.BUSY, reason, TransactionState.IDLE)
+            : Answer.error(AnswerCode.DENIED, CallerSession.DENIED, TransactionState.IDLE);
     context.decisions().answered(request, route, null, 0, answer);
     done.accept(answer);
   }
--- a/core/src/main/java/org/pollenspar/core/connection/QuotaTransaction.java
+++ b/core/src/main/java/org/pollenspar/core/connection/QuotaTransaction.java
@@ -12,7 +12,8 @@
 
 /**
  * A transaction whose first statement needs a grant of its organisation's limit. A refusal fails
- * the transaction, as a refusal to open it at a database does.
+ * the transaction, as a refusal to open it at a database does. The caller's key is checked again
+ * when the grant has come.
  */
 final class QuotaTransaction implements StatementExecutor.OpenTransaction {
   private final QuotaExecutor executor;
@@ -111,6 +112,11 @@
 
     @Override
     public void granted(Runnable giveBack) {
+      if (!sessionState.admitted()) {
+        giveBack.run();
+        end(AnswerCode.DENIED, CallerSession.DENIED);
+        return;
+      }
       decide();
       granted = true;
       transaction.run(
@@ -138,8 +144,11 @@
         withdraw.run();
       }
       boolean commit = request.statement() instanceof SessionStatement.Commit;
+      TransactionState state = commit ? TransactionState.IDLE : TransactionState.FAILED;
       Answer answer =
-          Answer.error(code, reason, commit ? TransactionState.IDLE : TransactionState.FAILED);
+          sessionState.admitted()
+              ? Answer.error(code, reason, state)
+              : Answer.error(AnswerCode.DENIED, CallerSession.DENIED, state);
       context.decisions().answered(request, route, null, 0, answer);
       done.accept(answer);
     }
--- a/core/src/main/java/org/pollenspar/core/connection/SessionState.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SessionState.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import org.jspecify.annotations.Nullable;
 import org.pollenspar.core.request.PreparedShape;
 import org.pollenspar.core.request.SessionStatement;
@@ -18,6 +19,7 @@
   private final Map<String, String> values = new HashMap<>();
   private final Map<String, PreparedShape> prepared = new HashMap<>();
   private String organisation = RouteTable.NO_ORGANISATION;
+  private BooleanSupplier admission = () -> true;
 
   /** Characters of all names, values and shapes. */
   private long size;
@@ -27,6 +29,19 @@
     return organisation;
   }
 
+  /** Sets what {@link #admitted} returns; always true otherwise. */
+  void admission(BooleanSupplier check) {
+    admission = check;
+  }
+
+  /**
+   * Returns whether the caller's key still admits it to the organisation for which statements run,
+   * by the configuration in force. To be asked again by who has let a statement wait.
+   */
+  boolean admitted() {
+    return admission.getAsBoolean();
+  }
+
   /** Sets the organisation for which statements run from now on. */
   void organisation(String name) {
     organisation = name;
--- a/core/src/test/java/org/pollenspar/core/connection/QuotaTest.java
+++ b/core/src/test/java/org/pollenspar/core/connection/QuotaTest.java
@@ -6,7 +6,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -14,6 +13,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.pollenspar.core.process.Member;
 import org.pollenspar.core.request.Answer;
@@ -288,15 +288,7 @@
         Consumer<QuotaAcknowledgement> done) {}
 
     private void limit(RateLimit limit) {
-      Map<String, Organisation> byName = new HashMap<>();
-      byName.put("acme", new Organisation("acme", limit));
-      fixture.routes =
-          new RouteTable(
-              fixture.routes.version() + 1,
-              fixture.routes.routes(),
-              fixture.routes.groups(),
-              fixture.routes.transactionIdleMillis(),
-              new Organisations(byName, Map.of("key", "acme")));
+      limit(limit, "key");
     }
 
     private void send(SessionStatement statement) {
@@ -390,6 +382,41 @@
       assertEquals(1, givenBack);
     }
 
+    private void limit(RateLimit limit, String key) {
+      fixture.routes =
+          new RouteTable(
+              fixture.routes.version() + 1,
+              fixture.routes.routes(),
+              fixture.routes.groups(),
+              fixture.routes.transactionIdleMillis(),
+              new Organisations(
+                  Map.of("acme", new Organisation("acme", limit)), Map.of(key, "acme")));
+    }
+
+    /** Guards against a statement that runs under a key that was removed while it waited. */
+    @ParameterizedTest
+    @CsvSource({"false,GRANTED", "false,REFUSED", "true,GRANTED", "true,REFUSED"})
+    void aKeyThatIsRemovedDuringTheWaitRunsNothing(boolean inTransaction, QuotaDecision.Kind kind) {
+      limit(new RateLimit(10, 10), "key");
+      if (inTransaction) {
+        send(new SessionStatement.Begin(false));
+      }
+      send(new SessionStatement.Write("WRITE a b"));
+      limit(new RateLimit(10, 10), "other");
+      session.configurationChanged();
+      decide(kind);
+      fixture.time.advance(1_000);
+      assertEquals(AnswerCode.DENIED, lastCode());
+      assertEquals(List.of(), fixture.databases.received);
+      assertEquals(kind == QuotaDecision.Kind.GRANTED ? 1 : 0, givenBack);
+      if (inTransaction) {
+        assertEquals(TransactionState.FAILED, answers.get(1).state());
+        send(new SessionStatement.Commit());
+        assertEquals(AnswerCode.DENIED, lastCode());
+        assertEquals(TransactionState.IDLE, answers.get(2).state());
+      }
+    }
+
     /** Guards against grants that are lost with callers who disconnect, and work for nobody. */
     @Test
     void aCallerThatDisconnectsWhileItWaitsRunsNothing() {
