core, edge, wire: a grant is kept if an earlier attempt may have run

An organisation could run more operations than its limit if databases lost answers: a read that was lost at one database, and may have run there, and was refused by the next one gave its grant back.

Cause: the grant was given back by the code of the last attempt alone.

Change: an Answer says whether an earlier attempt may have run. SingleStatement and SessionTransaction (a lost or successful begin) set it if any attempt was answered with another code than BUSY, LAGGING, WRONGNODE, CONNLIMIT or NOSTMT; ForwardedStatement and ForwardedTransaction also if a home's answer was lost. A home tells the entry host in the new field earlier_may_have_run of ForwardAnswer. A home of an earlier version doesn't send it, and is taken as before. Grants are given back after NOSTMT now too, since nothing ran.

--- a/core/src/main/java/org/pollenspar/core/connection/ForwardOutcome.java
+++ b/core/src/main/java/org/pollenspar/core/connection/ForwardOutcome.java
@@ -32,6 +32,16 @@
     }
   }
 
+  /**
+   * Returns whether a database may have run something. A home that tried several databases may have
+   * lost an attempt before the one whose answer it passes on.
+   */
+  boolean mayHaveRun() {
+    return kind == Kind.ANSWERED || kind == Kind.UNREACHABLE
+        ? !answer.nothingRan()
+        : !kind.nothingRan();
+  }
+
   /** Returns an outcome without an answer of the home. */
   public static ForwardOutcome unanswered(Kind kind, String reason) {
     return new ForwardOutcome(
--- a/core/src/main/java/org/pollenspar/core/connection/ForwardedStatement.java
+++ b/core/src/main/java/org/pollenspar/core/connection/ForwardedStatement.java
@@ -33,6 +33,7 @@
   private @Nullable HomeChannel channel;
   private long id;
   private @Nullable Answer lastRefusal;
+  private boolean mayHaveRun;
   private boolean abandoned;
   private boolean finished;
 
@@ -87,6 +88,7 @@
       return;
     }
     executor.homes().record(route.group(), by, outcome.kind());
+    mayHaveRun |= outcome.mayHaveRun();
     if (outcome.kind() == ForwardOutcome.Kind.ANSWERED) {
       finish(outcome.answer());
     } else if (outcome.kind().nothingRan()) {
@@ -133,6 +135,6 @@
       timeout.cancel();
     }
     context.decisions().forwarded(request, route, home, tried.size(), answer);
-    done.accept(answer);
+    done.accept(answer.afterAttempts(mayHaveRun));
   }
 }
--- a/core/src/main/java/org/pollenspar/core/connection/ForwardedTransaction.java
+++ b/core/src/main/java/org/pollenspar/core/connection/ForwardedTransaction.java
@@ -34,6 +34,7 @@
   private long id;
   private boolean opened;
   private boolean failed;
+  private boolean mayHaveBegun;
   private boolean wrote;
   private @Nullable RunningStatement current;
 
@@ -151,6 +152,7 @@
       if (home != null) {
         executor.homes().record(route.group(), home, outcome.kind());
       }
+      mayHaveBegun |= outcome.mayHaveRun();
       if (outcome.kind() == ForwardOutcome.Kind.ANSWERED) {
         opened = true;
         failed = commit || outcome.answer().state() != TransactionState.OPEN;
@@ -202,7 +204,7 @@
         timeout.cancel();
       }
       context.decisions().forwarded(request, route, home, tried.size(), answer);
-      done.accept(answer);
+      done.accept(answer.afterAttempts(mayHaveBegun));
     }
   }
 }
--- a/core/src/main/java/org/pollenspar/core/connection/QuotaExecutor.java
+++ b/core/src/main/java/org/pollenspar/core/connection/QuotaExecutor.java
@@ -67,15 +67,4 @@
         + Math.max(1, retryAfterMillis)
         + " ms";
   }
-
-  /**
-   * Returns whether an answer shows that nothing ran at a database. Read-only and aborted answers
-   * don't, since the statement was sent.
-   */
-  static boolean nothingRan(Answer answer) {
-    return switch (answer.code()) {
-      case BUSY, LAGGING, WRONG_DATABASE, CONNECTION_LIMIT -> true;
-      default -> false;
-    };
-  }
 }
--- a/core/src/main/java/org/pollenspar/core/connection/QuotaStatement.java
+++ b/core/src/main/java/org/pollenspar/core/connection/QuotaStatement.java
@@ -96,7 +96,7 @@
                 request,
                 lastCommit,
                 answer -> {
-                  if (QuotaExecutor.nothingRan(answer)) {
+                  if (answer.nothingRan()) {
                     giveBack.run();
                   }
                   done.accept(answer);
--- a/core/src/main/java/org/pollenspar/core/connection/QuotaTransaction.java
+++ b/core/src/main/java/org/pollenspar/core/connection/QuotaTransaction.java
@@ -122,7 +122,7 @@
       transaction.run(
           request,
           answer -> {
-            if (transaction.failed() && QuotaExecutor.nothingRan(answer)) {
+            if (transaction.failed() && answer.nothingRan()) {
               giveBack.run();
             }
             done.accept(answer);
--- a/core/src/main/java/org/pollenspar/core/connection/SessionTransaction.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SessionTransaction.java
@@ -41,6 +41,7 @@
   private long term;
   private long grantedNanos;
   private boolean begun;
+  private boolean mayHaveBegun;
   private boolean failed;
   private boolean wrote;
   private boolean abandoned;
@@ -279,6 +280,7 @@
       heldConnection.run(
           new DatabaseCommand.Begin(readOnly, requiredPosition),
           answer -> {
+            mayHaveBegun |= !answer.code().nothingRan();
             if (!answer.ok()) {
               beginFailed(heldConnection, answer);
               return;
@@ -408,8 +410,7 @@
     }
 
     private Answer withState(Answer answer) {
-      TransactionState state = failed ? TransactionState.FAILED : TransactionState.OPEN;
-      return new Answer(answer.code(), answer.rows(), answer.detail(), state, answer.position());
+      return answer.withState(failed ? TransactionState.FAILED : TransactionState.OPEN);
     }
 
     private void completedCommit(PooledDatabaseConnection heldConnection, Answer answer) {
@@ -424,13 +425,7 @@
                       .mayAcknowledgeWrite(
                           router.group(), heldConnection.pool().entry().id(), term));
       if (!outcomeUnknown) {
-        finish(
-            new Answer(
-                answer.code(),
-                answer.rows(),
-                answer.detail(),
-                TransactionState.IDLE,
-                answer.position()));
+        finish(answer.withState(TransactionState.IDLE));
       } else if (wrote) {
         finish(
             Answer.error(
@@ -492,7 +487,7 @@
         startIdleTimer();
       }
       context.decisions().answered(request, route, pool, openAttempts, answer);
-      done.accept(answer);
+      done.accept(answer.afterAttempts(mayHaveBegun));
     }
   }
 }
--- a/core/src/main/java/org/pollenspar/core/connection/SingleStatement.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SingleStatement.java
@@ -49,6 +49,10 @@
   private int attempts;
   private long grantedNanos;
   private boolean sent;
+
+  /** Whether an attempt was sent that may have run, as its answer doesn't show the contrary. */
+  private boolean mayHaveRun;
+
   private boolean timedOut;
   private boolean finished;
 
@@ -194,6 +198,7 @@
   private void completed(
       PooledDatabaseConnection from, Answer answer, ClockReading sentAt, long term) {
     ConnectionPool pool = from.pool();
+    mayHaveRun |= !answer.code().nothingRan();
     if (answer.code() != AnswerCode.LOST) {
       router.observe(pool, route.priority(), answer, sentAt.steadyNanos());
     }
@@ -313,6 +318,6 @@
     }
     @Nullable ConnectionPool pool = target == null ? null : target.pool();
     context.decisions().answered(request, route, pool, attempts, answer);
-    done.accept(answer);
+    done.accept(answer.afterAttempts(mayHaveRun));
   }
 }
--- a/core/src/main/java/org/pollenspar/core/request/Answer.java
+++ b/core/src/main/java/org/pollenspar/core/request/Answer.java
@@ -13,17 +13,30 @@
  *     to, else an error message
  * @param state transaction state after the statement
  * @param position end of the database's log when it answered; null if the answer does not state it
+ * @param earlierMayHaveRun whether the answer is that of a later attempt, and an earlier one may
+ *     have run at a database
  */
 public record Answer(
     AnswerCode code,
     List<String> rows,
     String detail,
     TransactionState state,
-    @Nullable Position position) {
+    @Nullable Position position,
+    boolean earlierMayHaveRun) {
 
   /** Detail of a successful answer that no database signed, since none had to run it. */
   public static final String UNSIGNED = "-";
 
+  /** Creates the answer of the only attempt, or of one before which nothing ran. */
+  public Answer(
+      AnswerCode code,
+      List<String> rows,
+      String detail,
+      TransactionState state,
+      @Nullable Position position) {
+    this(code, rows, detail, state, position, false);
+  }
+
   /** Returns the answer to a statement that succeeded without a database. */
   public static Answer local(TransactionState state) {
     return new Answer(AnswerCode.OK, List.of(), UNSIGNED, state, null);
@@ -33,6 +46,22 @@
     return new Answer(code, List.of(), detail, state, null);
   }
 
+  /**
+   * Returns this answer as the final one after several attempts.
+   *
+   * @param anyMayHaveRun whether one of the attempts may have run at a database
+   */
+  public Answer afterAttempts(boolean anyMayHaveRun) {
+    return anyMayHaveRun && nothingRan()
+        ? new Answer(code, rows, detail, state, position, true)
+        : this;
+  }
+
+  /** Returns whether it is certain that no attempt ran at a database. */
+  public boolean nothingRan() {
+    return code.nothingRan() && !earlierMayHaveRun;
+  }
+
   public boolean ok() {
     return code == AnswerCode.OK;
   }
@@ -45,8 +74,13 @@
     return position != null && position.term() > term;
   }
 
+  /** Returns this answer with another transaction state. */
+  public Answer withState(TransactionState newState) {
+    return new Answer(code, rows, detail, newState, position, earlierMayHaveRun);
+  }
+
   /** Returns this answer without a position. */
   public Answer withoutPosition() {
-    return new Answer(code, rows, detail, state, null);
+    return new Answer(code, rows, detail, state, null, earlierMayHaveRun);
   }
 }
--- a/core/src/main/java/org/pollenspar/core/request/AnswerCode.java
+++ b/core/src/main/java/org/pollenspar/core/request/AnswerCode.java
@@ -50,6 +50,18 @@
     this.effect = effect;
   }
 
+  /**
+   * Returns whether a database that answers so, or a host that refuses so, has run nothing. Other
+   * codes without an effect may follow a statement that ran: a write at a replica, or one that was
+   * rolled back.
+   */
+  public boolean nothingRan() {
+    return switch (this) {
+      case BUSY, LAGGING, WRONG_DATABASE, CONNECTION_LIMIT, NO_SUCH_STATEMENT -> true;
+      default -> false;
+    };
+  }
+
   /** Returns whether it is certain that the statement left no effect. */
   public boolean hadNoEffect() {
     return effect == Effect.NOTHING;
--- a/core/src/test/java/org/pollenspar/core/connection/ForwardingTest.java
+++ b/core/src/test/java/org/pollenspar/core/connection/ForwardingTest.java
@@ -158,6 +158,36 @@
       assertEquals(AnswerCode.OK, caller.answers.get(0).code());
     }
 
+    /** Guards against a grant that the entry host gives back although a read may have run. */
+    @Test
+    void atADatabaseAreKnownToTheEntryHost() {
+      int[] count = {0};
+      databases.script(
+          each ->
+              each.command() instanceof DatabaseCommand.Forward
+                  ? Answer.error(
+                      count[0]++ == 0 ? AnswerCode.LOST : AnswerCode.LAGGING,
+                      "scripted",
+                      TransactionState.IDLE)
+                  : null);
+      Answer answer = entry.caller("old").read("1");
+      assertEquals(AnswerCode.BUSY, answer.code());
+      assertFalse(answer.nothingRan());
+    }
+
+    /** Guards against the same if the answer of one home is lost and another home refuses. */
+    @Test
+    void ofOneHomeAreKnownWhenAnotherHomeRefuses() {
+      far.accepting = false;
+      var caller = entry.caller("till");
+      caller.send("r", new SessionStatement.Read("READ 1"));
+      fixture.time.advance(4);
+      near.cutIncoming();
+      fixture.time.advance(1_000);
+      assertEquals(AnswerCode.BUSY, caller.answers.get(0).code());
+      assertFalse(caller.answers.get(0).nothingRan());
+    }
+
     @Test
     void leaveACommitOfWritesInDoubt() {
       var caller = entry.caller("till");
--- a/edge/src/main/java/org/pollenspar/edge/connection/ForwardCodec.java
+++ b/edge/src/main/java/org/pollenspar/edge/connection/ForwardCodec.java
@@ -117,7 +117,8 @@
             .setCode(answer.code().name())
             .addAllRows(answer.rows())
             .setDetail(answer.detail())
-            .setTransactionState(answer.state().name());
+            .setTransactionState(answer.state().name())
+            .setEarlierMayHaveRun(answer.earlierMayHaveRun());
     @Nullable Position position = answer.position();
     if (position != null) {
       message.setPosition(encode(position));
@@ -148,7 +149,8 @@
             List.copyOf(message.getRowsList()),
             message.getDetail(),
             state,
-            message.hasPosition() ? decode(message.getPosition()) : null));
+            message.hasPosition() ? decode(message.getPosition()) : null,
+            message.getEarlierMayHaveRun()));
   }
 
   private static <E extends Enum<E>> @Nullable E constant(E[] values, String name) {
