core: a first coordinator that waits for its partner asks at short intervals

After a restart of all hosts, callers of organisations with a limit were refused until the coordinators had heard each other, although both were up.

Cause: heartbeats were sent each 250 ms, and a new coordinator grants nothing before the first answer.

Change: the interval is 50 ms, introduced with the record of replaced coordinators, during the whole wait (6.5 s at most) and not only in its first 1.5 s. The rule itself is as it was: a new coordinator grants once it has heard its partner, with an empty budget. No earlier safe moment was found. That each member of the list is a process that started after the outage can only be shown by members that answer, and then the partner is heard as well; a partner that doesn't answer may be cut off and still grant.

Evidence: QuotaTest.afterARestartOfAllHostsTheyGrantSoon fails on (0 is not within 5 to 20), passes now.

--- a/core/src/main/java/org/pollenspar/core/connection/QuotaCoordinator.java
+++ b/core/src/main/java/org/pollenspar/core/connection/QuotaCoordinator.java
@@ -187,9 +187,8 @@
 
   /** Returns whether answers are due that decide whether, or at which rate, this host grants. */
   boolean awaitsAnswers() {
-    boolean unheard = role == Role.FIRST && other != null && !heardAny;
     return former.anyYoungerThan(FIRST_SILENCE_MS)
-        || (unheard && createdAt.ageMillis(clocks) < SECOND_SILENCE_MS);
+        || (role == Role.FIRST && other != null && unheard());
   }
 
   /** Applies the figures of a configuration, unless those of a later version are known. */
@@ -343,6 +342,11 @@
     return Math.max(statedSharedMillis(), former.sharedMillis());
   }
 
+  /** Returns whether hosts that were cut off before this host began may still grant. */
+  private boolean unheard() {
+    return !heardAny && createdAt.ageMillis(clocks) < FormerCoordinators.CUT_OFF_MS;
+  }
+
   private Mode nextMode() {
     if (role == null) {
       return Mode.FOLLOWING;
@@ -352,13 +356,9 @@
       return Mode.FOLLOWING;
     }
     boolean mayHavePredecessors = other != null || suspendedBefore > 0;
-    boolean unheard =
-        mayHavePredecessors
-            && !heardAny
-            && createdAt.ageMillis(clocks) < FormerCoordinators.CUT_OFF_MS;
     boolean shared = suspendedBefore > 0 || sharedMillis() > 0;
     boolean barred = former.anyAtFullRate() || suspendedBefore > 1;
-    if (unheard || barred || (shared && role == Role.SECOND)) {
+    if ((mayHavePredecessors && unheard()) || barred || (shared && role == Role.SECOND)) {
       return Mode.BARRED;
     }
     boolean promised = other == null || (role == Role.FIRST && !otherSilent());
--- a/core/src/test/java/org/pollenspar/core/connection/QuotaTest.java
+++ b/core/src/test/java/org/pollenspar/core/connection/QuotaTest.java
@@ -154,6 +154,19 @@
       assertNull(fleet.violation());
     }
 
+    /** Guards against refusals for longer than the coordinators need to hear each other. */
+    @Test
+    void afterARestartOfAllHostsTheyGrantSoon() {
+      fleet.load(RATE, 5_000);
+      List<String> names = List.copyOf(fleet.hosts.keySet());
+      names.forEach(fleet::crash);
+      fleet.time.advance(1_000);
+      names.forEach(fleet::start);
+      // Until the members and the configuration have arrived.
+      fleet.time.advance(110);
+      assertBetween(5, 20, grantsIn(100, 3 * RATE));
+    }
+
     /** Guards against figures that wait for a new coordinator or a full bucket. */
     @Test
     void changedFiguresApplyAtOnce() {
