core: positions of a primary's log age while the host is suspended

Callers whose host had been suspended for less than a confirmation holds (6 s) could get reads of replicas beyond the bound of their route. PositionHistory measured the age of a position by the steady clock alone, which stands still meanwhile, so a position from before the suspension looked recent. A read-only transaction that was open on a replica went on after the suspension, since its idle timer stood still too.

Samples now carry a ClockReading, and their age is the larger advance of the two clocks. A sample counts only if all later ones are recent enough, so a time of day that was set back earlier hides no suspension. A read-only transaction on a replica is aborted if the host was paused since BEGIN. A step of the time of day makes earlier samples unusable; the next answer of the primary brings a usable one.

Positions are not passed between hosts, and an answer that is delayed by a suspension of the caller's host was already within the bound when the read was sent.

CallerSessionTest.areDroppedIfTheHostWasPaused expected the retry after a pause of 3 s at a replica with the old position, which was this fault. It now expects the retry at the primary.

--- a/core/src/main/java/org/pollenspar/core/connection/GroupRouter.java
+++ b/core/src/main/java/org/pollenspar/core/connection/GroupRouter.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
+import org.pollenspar.core.process.ClockReading;
 import org.pollenspar.core.process.Clocks;
 import org.pollenspar.core.process.PrimaryAuthority;
 import org.pollenspar.core.process.PrimaryRecord;
@@ -194,7 +195,7 @@
    */
   public @Nullable Position requiredPosition(Route route, @Nullable Position lastCommitPosition) {
     long bound = (route.maxStalenessMillis() - STALENESS_RESERVE_MS) * NANOS_PER_MILLI;
-    @Nullable Position covering = positions.covering(clocks.steadyNanos() - bound);
+    @Nullable Position covering = positions.covering(ClockReading.now(clocks), bound);
     if (covering == null
         || lastCommitPosition == null
         || route.kind() != RouteKind.READ_YOUR_WRITES) {
@@ -287,23 +288,24 @@
     return pool.expectedNanos(priority, organisation) + (remote ? REMOTE_PENALTY_NANOS : 0);
   }
 
-  /** Records a complete answer to a statement that was sent at {@code sentNanos}. */
-  public void observe(ConnectionPool pool, int priority, Answer answer, long sentNanos) {
+  /** Records a complete answer to a statement that was sent at {@code sentAt}. */
+  public void observe(ConnectionPool pool, int priority, Answer answer, ClockReading sentAt) {
     long now = clocks.steadyNanos();
-    pool.recordAnswer(priority, answer.code(), now - sentNanos);
+    long tookNanos = now - sentAt.steadyNanos();
+    pool.recordAnswer(priority, answer.code(), tookNanos);
     if (regionalReads != null && !answer.code().hadNoEffect()) {
-      regionalReads.record(pool, priority, now - sentNanos, now);
+      regionalReads.record(pool, priority, tookNanos, now);
     }
-    recordPosition(pool, answer, sentNanos);
+    recordPosition(pool, answer, sentAt);
   }
 
   /**
    * Records a complete answer to a command that uses no execution slot of the database. Its time
    * says nothing about the database's queue, so only the end of the log is taken from it.
    */
-  public void observePosition(ConnectionPool pool, Answer answer, long sentNanos) {
+  public void observePosition(ConnectionPool pool, Answer answer, ClockReading sentAt) {
     pool.recordAnswer();
-    recordPosition(pool, answer, sentNanos);
+    recordPosition(pool, answer, sentAt);
   }
 
   /**
@@ -338,12 +340,12 @@
     return covers ? answer : answer.withoutPosition();
   }
 
-  private void recordPosition(ConnectionPool pool, Answer answer, long sentNanos) {
+  private void recordPosition(ConnectionPool pool, Answer answer, ClockReading sentAt) {
     if (answer.position() == null || pool != primary()) {
       return;
     }
     if (answer.position().term() == term()) {
-      positions.add(answer.position(), sentNanos);
+      positions.add(answer.position(), sentAt);
     }
   }
 }
--- a/core/src/main/java/org/pollenspar/core/connection/SessionTransaction.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SessionTransaction.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.pollenspar.core.process.ClockReading;
 import org.pollenspar.core.process.Timers;
 import org.pollenspar.core.request.Answer;
 import org.pollenspar.core.request.AnswerCode;
@@ -25,6 +26,9 @@
  * <p>Until a commit is sent, the loss of the connection only aborts the transaction, since the
  * database rolls back when a connection closes. A commit of writes without an answer is in doubt,
  * as is one whose answer arrives after this host has acknowledged the revocation of the primary.
+ *
+ * <p>A transaction on a replica is aborted if this host was paused since BEGIN: the position that
+ * BEGIN required is then too old, and the timer of idle transactions stood still.
  */
 final class SessionTransaction implements StatementExecutor.OpenTransaction {
   private static final int MAX_OPEN_ATTEMPTS = 3;
@@ -40,6 +44,7 @@
   private boolean atPrimary;
   private long term;
   private long grantedNanos;
+  private ClockReading beginSentAt;
   private boolean begun;
   private boolean failed;
   private boolean wrote;
@@ -62,6 +67,7 @@
     this.sessionState = sessionState;
     this.readOnly = readOnly;
     this.lastCommitPosition = lastCommitPosition;
+    this.beginSentAt = ClockReading.now(context.clocks());
   }
 
   @Override
@@ -275,7 +281,8 @@
         retryOpen(AnswerCode.BUSY, "the primary of group " + router.group() + " changed");
         return;
       }
-      long sentNanos = context.clocks().steadyNanos();
+      ClockReading sentAt = ClockReading.now(context.clocks());
+      beginSentAt = sentAt;
       heldConnection.run(
           new DatabaseCommand.Begin(readOnly, requiredPosition),
           answer -> {
@@ -284,7 +291,7 @@
               return;
             }
             begun = true;
-            router.observePosition(heldConnection.pool(), answer, sentNanos);
+            router.observePosition(heldConnection.pool(), answer, sentAt);
             if (abandoned) {
               finish(
                   Answer.error(
@@ -362,14 +369,14 @@
       if (commitsWrites) {
         router.authority().writeStarted(router.group());
       }
-      long sentNanos = context.clocks().steadyNanos();
+      ClockReading sentAt = ClockReading.now(context.clocks());
       @Nullable Position latest = router.latestPosition();
       @Nullable String name = shape == null ? null : heldConnection.preparedName(shape);
       heldConnection.run(
           new DatabaseCommand.Forward(request.id(), request.statement(), name, null),
           answer -> {
             if (answer.code() != AnswerCode.LOST) {
-              router.observe(heldConnection.pool(), route.priority(), answer, sentNanos);
+              router.observe(heldConnection.pool(), route.priority(), answer, sentAt);
             }
             completed(
                 heldConnection,
@@ -388,27 +395,28 @@
             timedOut
                 ? "the statement exceeded its time limit; the transaction is rolled back"
                 : "the connection to the database was lost; the transaction is rolled back");
-      } else if (answer.ok() && primaryMayBeReplaced(heldConnection, answer)) {
-        abort("the primary is being replaced; the transaction is rolled back");
+      } else if (answer.ok() && mayBeStale(heldConnection, answer)) {
+        String cause = atPrimary ? "the primary is being replaced" : "the host was suspended";
+        abort(cause + "; the transaction is rolled back");
       } else {
         failed = answer.state() != TransactionState.OPEN;
         if (failed && answer.state() == TransactionState.IDLE) {
           begun = false;
         }
-        finish(withState(answer));
+        finish(withState(answer, failed ? TransactionState.FAILED : TransactionState.OPEN));
       }
     }
 
-    private boolean primaryMayBeReplaced(PooledDatabaseConnection held, Answer answer) {
-      return atPrimary
-          && (answer.showsTermAfter(term)
-              || !router
-                  .authority()
-                  .mayAcknowledgeWrite(router.group(), held.pool().entry().id(), term));
+    private boolean mayBeStale(PooledDatabaseConnection held, Answer answer) {
+      if (!atPrimary) {
+        return beginSentAt.pausedSince(context.clocks());
+      }
+      String database = held.pool().entry().id();
+      return answer.showsTermAfter(term)
+          || !router.authority().mayAcknowledgeWrite(router.group(), database, term);
     }
 
-    private Answer withState(Answer answer) {
-      TransactionState state = failed ? TransactionState.FAILED : TransactionState.OPEN;
+    private static Answer withState(Answer answer, TransactionState state) {
       return new Answer(answer.code(), answer.rows(), answer.detail(), state, answer.position());
     }
 
@@ -424,13 +432,7 @@
                       .mayAcknowledgeWrite(
                           router.group(), heldConnection.pool().entry().id(), term));
       if (!outcomeUnknown) {
-        finish(
-            new Answer(
-                answer.code(),
-                answer.rows(),
-                answer.detail(),
-                TransactionState.IDLE,
-                answer.position()));
+        finish(withState(answer, TransactionState.IDLE));
       } else if (wrote) {
         finish(
             Answer.error(
--- a/core/src/main/java/org/pollenspar/core/connection/SingleStatement.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SingleStatement.java
@@ -30,9 +30,6 @@
 final class SingleStatement implements StatementExecutor.StatementExecution, ConnectionRequest {
   private static final int MAX_ATTEMPTS = 4;
 
-  /** Advance of the wall clock over the steady clock that shows that this host was paused. */
-  private static final long PAUSE_MS = 300;
-
   private final SessionContext context;
   private final Route route;
   private final GroupRouter router;
@@ -195,7 +192,7 @@
       PooledDatabaseConnection from, Answer answer, ClockReading sentAt, long term) {
     ConnectionPool pool = from.pool();
     if (answer.code() != AnswerCode.LOST) {
-      router.observe(pool, route.priority(), answer, sentAt.steadyNanos());
+      router.observe(pool, route.priority(), answer, sentAt);
     }
     if (answer.code() == AnswerCode.NO_SUCH_STATEMENT) {
       from.clearPreparedNames();
@@ -253,8 +250,8 @@
   /**
    * Returns whether the answer to a read may be older than its route permits. An answer of the
    * primary may be if the database may no longer be the primary of the term or shows a newer one;
-   * an answer of a replica if this host was paused, since the steady clock that measures staleness
-   * stood still.
+   * an answer of a replica if this host was paused, since the required position was determined
+   * before the pause.
    */
   private boolean mayBeStale(ConnectionPool pool, Answer answer, ClockReading sentAt, long term) {
     GroupRouter.@Nullable StatementTarget at = target;
@@ -262,7 +259,7 @@
       return answer.showsTermAfter(term)
           || !router.authority().leads(router.group(), pool.entry().id(), term);
     }
-    return sentAt.pausedMillis(context.clocks()) > PAUSE_MS;
+    return sentAt.pausedSince(context.clocks());
   }
 
   private void retryOr(AnswerCode code, String detail) {
--- a/core/src/test/java/org/pollenspar/core/connection/CallerSessionTest.java
+++ b/core/src/test/java/org/pollenspar/core/connection/CallerSessionTest.java
@@ -376,9 +376,11 @@
             return null;
           });
       assertEquals(AnswerCode.OK, caller.read("2").code());
-      // One read to learn the position, one that is dropped, one retry.
+      // One read to learn the position, one that is dropped, and one retry at the primary, as the
+      // position is too old by now.
       assertEquals(3, fixture.databases.received.size());
-      assertEquals(2, readsAtReplica[0]);
+      assertEquals(1, readsAtReplica[0]);
+      assertEquals(2, fixture.databases.commands("p").size());
     }
   }
 
