edge: the memory for callers covers forwarded statements and rows

A home could exhaust its heap and end by statements that other hosts forwarded and that waited for a database, by answers that another host didn't receive, and by the rows of an answer while the database still sent it. CallerBackpressure counted the connections of callers only.

Its limit now covers these too. Forwarded statements take at most half of it; a further one is refused with BUSY before it starts. Statements of a transaction that holds a connection are counted and go on. Above the limit, the holder of the most bytes is closed, which may now be a connection to a database whose answer is too large (the statement is LOST, as with any lost connection), or that of a host that doesn't receive its answers.

--- a/core/src/main/java/org/pollenspar/core/connection/CallerBackpressure.java
+++ b/core/src/main/java/org/pollenspar/core/connection/CallerBackpressure.java
@@ -21,7 +21,14 @@
  * <p>A connection isn't read while it has many unanswered statements or unread answers, which keeps
  * the rest of its input in the network.
  *
- * <p>Invariant: {@link #bufferedBytes} is the sum over the open connections.
+ * <p>The same limit covers what the process holds for callers elsewhere: rows of answers that
+ * databases are sending, answers that other hosts have not received, and statements that other
+ * hosts forward. The holder of the most bytes is closed also if it is not a caller's connection,
+ * since only that releases them. Forwarded statements have at most half of the limit; those above
+ * it are refused before they start.
+ *
+ * <p>Invariant: {@link #bufferedBytes} is the sum over the open connections, the open {@link
+ * HeldBytes} and the forwarded statements.
  */
 public final class CallerBackpressure {
   /** Unread answers above which a connection isn't read. */
@@ -93,7 +100,12 @@
 
   private final Limits limits;
   private final Set<Usage> open = new LinkedHashSet<>();
+
+  /** Those that hold bytes now. */
+  private final Set<HeldBytes> holding = new LinkedHashSet<>();
+
   private long bufferedBytes;
+  private long forwardedBytes;
   private int suspended;
   private long suspensions;
 
@@ -101,7 +113,7 @@
     this.limits = limits;
   }
 
-  /** Returns the bytes that all connections hold in the process. */
+  /** Returns the bytes that the process holds for callers. */
   public long bufferedBytes() {
     return bufferedBytes;
   }
@@ -135,6 +147,30 @@
     return usage;
   }
 
+  /** Returns whether a forwarded statement of this size may be held. */
+  boolean admitsForwarded(long bytes) {
+    return forwardedBytes + bytes <= limits.bufferedBytes() / 2
+        && bufferedBytes + bytes <= limits.bufferedBytes();
+  }
+
+  /** Records by how many bytes the forwarded statements without an outcome have changed. */
+  void forwarded(long change) {
+    forwardedBytes += change;
+    bufferedBytes += change;
+    if (change > 0) {
+      closeLargest();
+    }
+  }
+
+  /**
+   * Returns an account of bytes that are held outside of callers' connections.
+   *
+   * @param close releases the bytes; called at most once, and may not call back before it returns
+   */
+  public HeldBytes holder(Runnable close) {
+    return new HeldBytes(close);
+  }
+
   /** Closes connections whose time for a message or for reading answers is over. */
   public void closeOverdue(long nowNanos) {
     List<Usage> overdue = new ArrayList<>();
@@ -166,10 +202,71 @@
   }
 
   private void closeLargest() {
-    while (bufferedBytes > limits.bufferedBytes() && !open.isEmpty()) {
-      open.stream()
-          .max(Comparator.comparingLong(each -> each.bytes))
-          .ifPresent(each -> each.close(CloseCause.BUFFERED_BYTES));
+    while (bufferedBytes > limits.bufferedBytes()) {
+      @Nullable Usage caller =
+          open.stream().max(Comparator.comparingLong(each -> each.bytes)).orElse(null);
+      @Nullable HeldBytes other =
+          holding.stream().max(Comparator.comparingLong(each -> each.bytes)).orElse(null);
+      if (other != null && (caller == null || other.bytes > caller.bytes)) {
+        other.close();
+      } else if (caller != null) {
+        caller.close(CloseCause.BUFFERED_BYTES);
+      } else {
+        return;
+      }
+    }
+  }
+
+  /** Bytes that are held for callers by something other than a caller's connection. */
+  public final class HeldBytes {
+    private final Runnable close;
+    private long bytes;
+    private boolean closed;
+
+    private HeldBytes(Runnable close) {
+      this.close = close;
+    }
+
+    /** Records an object of a given size. */
+    public void add(int count) {
+      change((long) count + OBJECT_BYTES);
+    }
+
+    /** Records that such an object is released. */
+    public void remove(int count) {
+      change(-((long) count + OBJECT_BYTES));
+    }
+
+    /** Records that everything is released. */
+    public void clear() {
+      change(-bytes);
+    }
+
+    private void change(long change) {
+      if (closed || change == 0) {
+        return;
+      }
+      bytes += change;
+      bufferedBytes += change;
+      if (bytes == 0) {
+        holding.remove(this);
+      } else {
+        holding.add(this);
+      }
+      if (change > 0) {
+        closeLargest();
+      }
+    }
+
+    /** Ends the accounting. */
+    public void closed() {
+      clear();
+      closed = true;
+    }
+
+    private void close() {
+      closed();
+      close.run();
     }
   }
 
--- a/core/src/main/java/org/pollenspar/core/connection/ForwardedWork.java
+++ b/core/src/main/java/org/pollenspar/core/connection/ForwardedWork.java
@@ -20,13 +20,21 @@
  * connection ends, its transactions are rolled back and what waits is withdrawn; statements that
  * run go on.
  *
+ * <p>Statements are counted by {@link CallerBackpressure} until their outcome is known. One that
+ * would exceed the part of forwarded statements is refused before it starts, so nothing ran. Those
+ * of a transaction that holds a connection go on, since each transaction has one at a time.
+ *
  * <p>All methods run on one thread.
  */
 public final class ForwardedWork {
+  /** Counted for each statement besides its message. */
+  private static final int STATEMENT_BYTES = 256;
+
   private final SessionContext context;
   private final Function<String, @Nullable GroupRouter> routers;
   private final BooleanSupplier accepting;
   private final Consumer<ForwardedWork> onClosed;
+  private final CallerBackpressure backpressure;
   private final Map<Long, StatementExecutor.StatementExecution> statements = new HashMap<>();
   private final Map<Long, HomeTransaction> transactions = new HashMap<>();
   private boolean refusing;
@@ -41,25 +49,60 @@
    * @param routers router of a group by name; null if the group is unknown
    * @param accepting whether this host takes forwarded work now
    * @param onClosed receives this work when the connection has ended
+   * @param backpressure counts the bytes of the statements
    */
   public ForwardedWork(
       SessionContext context,
       Function<String, @Nullable GroupRouter> routers,
       BooleanSupplier accepting,
-      Consumer<ForwardedWork> onClosed) {
+      Consumer<ForwardedWork> onClosed,
+      CallerBackpressure backpressure) {
     this.context = context;
     this.routers = routers;
     this.accepting = accepting;
     this.onClosed = onClosed;
+    this.backpressure = backpressure;
+  }
+
+  /** Returns an account of answers that the other host has not received. */
+  public CallerBackpressure.HeldBytes unsentAnswers(Runnable close) {
+    return backpressure.holder(close);
   }
 
   /**
    * Runs a statement.
    *
    * @param id id of the statement on the connection
+   * @param bytes size of the message
    * @param done receives the outcome, exactly once, now or later
    */
-  public void run(long id, ForwardedRequest request, Consumer<ForwardOutcome> done) {
+  public void run(long id, ForwardedRequest request, int bytes, Consumer<ForwardOutcome> done) {
+    ForwardedRequest.@Nullable Transaction transaction = request.transaction();
+    long counted = (long) bytes + STATEMENT_BYTES;
+    if ((transaction == null || transaction.opens()) && !backpressure.admitsForwarded(counted)) {
+      done.accept(new ForwardOutcome(ForwardOutcome.Kind.ANSWERED, full(request)));
+      return;
+    }
+    backpressure.forwarded(counted);
+    run(
+        id,
+        request,
+        outcome -> {
+          backpressure.forwarded(-counted);
+          done.accept(outcome);
+        });
+  }
+
+  private static Answer full(ForwardedRequest request) {
+    boolean failsTransaction =
+        request.transaction() != null && !(request.statement() instanceof SessionStatement.Commit);
+    return Answer.error(
+        AnswerCode.BUSY,
+        "the home host holds as many bytes of statements as it may; retry in 300 ms",
+        failsTransaction ? TransactionState.FAILED : TransactionState.IDLE);
+  }
+
+  private void run(long id, ForwardedRequest request, Consumer<ForwardOutcome> done) {
     ForwardedRequest.@Nullable Transaction transaction = request.transaction();
     if (transaction != null && !transaction.opens()) {
       runInTransaction(request, transaction, done);
--- a/core/src/test/java/org/pollenspar/core/connection/CallerBackpressureTest.java
+++ b/core/src/test/java/org/pollenspar/core/connection/CallerBackpressureTest.java
@@ -64,6 +64,24 @@
       assertEquals((400 << 10) + 256, backpressure.bufferedBytes());
     }
 
+    /** Guards against callers that are closed for the rows of another one's answer. */
+    @Test
+    void holdersOfMoreBytesAreClosedBeforeCallers() {
+      Caller caller = new Caller("caller", 0);
+      CallerBackpressure.HeldBytes rows = backpressure.holder(() -> closed.add("rows"));
+      caller.usage.queued(400 << 10, 0);
+      rows.add(500 << 10);
+      backpressure.forwarded(200 << 10);
+      assertEquals(List.of("rows"), closed);
+      rows.add(1);
+      assertEquals((600 << 10) + 256, backpressure.bufferedBytes());
+      assertFalse(backpressure.admitsForwarded(400 << 10));
+      assertTrue(backpressure.admitsForwarded(300 << 10));
+      backpressure.forwarded(300 << 10);
+      assertFalse(backpressure.admitsForwarded(100 << 10));
+      assertEquals(List.of("rows"), closed);
+    }
+
     @Test
     void theSumIsZeroOnceEverythingIsReleased() {
       Caller caller = new Caller("caller", 0);
--- a/core/src/test/java/org/pollenspar/core/connection/ForwardingFixture.java
+++ b/core/src/test/java/org/pollenspar/core/connection/ForwardingFixture.java
@@ -34,6 +34,9 @@
   static final String GROUP = SessionFixture.GROUP;
   static final long LINK_DELAY_MS = 1;
 
+  /** Limit of the bytes that each host holds for callers; the tests' usual load is far below. */
+  static final long MEMORY_LIMIT = 8 << 20;
+
   final FakeTime time = new FakeTime();
   final Map<String, HostUnderTest> hosts = new LinkedHashMap<>();
   private final PhysicalConnection.Opener databases;
@@ -96,6 +99,8 @@
     final SessionContext context;
     final Map<String, Link> links = new HashMap<>();
     final List<HostUnderTest> unreachable = new ArrayList<>();
+    final CallerBackpressure backpressure =
+        new CallerBackpressure(new CallerBackpressure.Limits(MEMORY_LIMIT, 1_000, 30_000, 10_000));
     boolean accepting = true;
     boolean frozen;
     private HomeAssignment assignment = new HomeAssignment(List.of(), 1);
@@ -225,7 +230,11 @@
         this.established = !unreachable.contains(home);
         this.work =
             new ForwardedWork(
-                home.context, group -> home.router, () -> home.accepting, closed -> {});
+                home.context,
+                group -> home.router,
+                () -> home.accepting,
+                closed -> {},
+                home.backpressure);
         if (!established) {
           time.after(LINK_DELAY_MS, this::cut);
         }
@@ -245,6 +254,7 @@
                 work.run(
                     id,
                     request,
+                    String.valueOf(request).length(),
                     outcome ->
                         time.after(
                             LINK_DELAY_MS,
--- a/edge/src/main/java/org/pollenspar/edge/connection/FleetChannel.java
+++ b/edge/src/main/java/org/pollenspar/edge/connection/FleetChannel.java
@@ -16,7 +16,6 @@
 import org.pollenspar.core.connection.DatabaseEntry;
 import org.pollenspar.core.connection.ForwardOutcome;
 import org.pollenspar.core.connection.ForwardedRequest;
-import org.pollenspar.core.connection.ForwardedWork;
 import org.pollenspar.core.connection.HomeChannel;
 import org.pollenspar.core.connection.QuotaDecision;
 import org.pollenspar.core.connection.QuotaMessages;
@@ -77,7 +76,7 @@
   /** Statements that this host forwarded and that are not answered yet, by request id. */
   private final Map<Long, Consumer<ForwardOutcome>> forwarded = new HashMap<>();
 
-  private final ForwardedWork receivedWork;
+  private final ReceivedStatements receivedStatements;
   private final QuotaExchange quotas;
   private @Nullable ChannelHandlerContext context;
   private long lastReadNanos;
@@ -89,7 +88,7 @@
   FleetChannel(EventLoop loop, FleetRequestHandler handler) {
     this.loop = loop;
     this.handler = handler;
-    this.receivedWork = handler.acceptForwardedWork();
+    this.receivedStatements = new ReceivedStatements(handler.acceptForwardedWork(), this::close);
     this.quotas = new QuotaExchange(handler::quotas);
   }
 
@@ -235,6 +234,10 @@
 
   private void closeAfterTimeout() {
     fail();
+    close();
+  }
+
+  private void close() {
     @Nullable ChannelHandlerContext active = context;
     if (active != null) {
       active.close();
@@ -246,7 +249,7 @@
     failed = true;
     failForwarded();
     quotas.fail();
-    receivedWork.close();
+    receivedStatements.close();
     List<Pending> all = new ArrayList<>(pending.values());
     pending.clear();
     unsent.clear();
@@ -334,8 +337,8 @@
       case PERMIT_REQUEST -> new PeerPermitRequest(active, message).submit();
       case PERMIT_END -> releasePermit(message.getRequestId(), message.getPermitEnd().getDelayMs());
       case PERMIT_DECISION -> handleDecision(message.getRequestId(), message.getPermitDecision());
-      case FORWARD_REQUEST -> runForwarded(active, message);
-      case FORWARD_END -> receivedWork.end(message.getRequestId());
+      case FORWARD_REQUEST -> receivedStatements.run(active, message);
+      case FORWARD_END -> receivedStatements.end(message.getRequestId());
       case FORWARD_ANSWER -> {
         @Nullable Consumer<ForwardOutcome> done = forwarded.remove(message.getRequestId());
         if (done != null) {
@@ -346,24 +349,6 @@
     }
   }
 
-  private void runForwarded(ChannelHandlerContext active, FleetEnvelope message) {
-    Consumer<ForwardOutcome> answer =
-        outcome ->
-            active.writeAndFlush(
-                FleetEnvelope.newBuilder()
-                    .setRequestId(message.getRequestId())
-                    .setForwardAnswer(ForwardCodec.encode(outcome))
-                    .build());
-    @Nullable ForwardedRequest request = ForwardCodec.decode(message.getForwardRequest());
-    if (request == null) {
-      answer.accept(
-          ForwardOutcome.unanswered(
-              ForwardOutcome.Kind.DECLINED, "the home host doesn't know this kind of statement"));
-    } else {
-      receivedWork.run(message.getRequestId(), request, answer);
-    }
-  }
-
   private void releasePermit(long id, long delayMillis) {
     @Nullable PeerPermitRequest permitRequest = receivedPermitRequests.remove(id);
     if (permitRequest != null) {
--- a/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
@@ -340,7 +340,12 @@
   /** Returns the work of a new connection over which another host may forward statements. */
   public ForwardedWork acceptForwardedWork() {
     ForwardedWork work =
-        new ForwardedWork(forwardedContext, groupRouters::get, this::ready, forwardedWork::remove);
+        new ForwardedWork(
+            forwardedContext,
+            groupRouters::get,
+            this::ready,
+            forwardedWork::remove,
+            dependencies.backpressure());
     forwardedWork.add(work);
     return work;
   }
--- a/edge/src/main/java/org/pollenspar/edge/process/NodeDependencies.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/NodeDependencies.java
@@ -3,6 +3,7 @@
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 import org.pollenspar.core.connection.BrokerMessages;
+import org.pollenspar.core.connection.CallerBackpressure;
 import org.pollenspar.core.connection.HomeChannel;
 import org.pollenspar.core.connection.PhysicalConnection;
 import org.pollenspar.core.connection.QuotaMessages;
@@ -29,6 +30,7 @@
  * @param connector opens connections to databases
  * @param statusDecoder decodes the row that answers {@link DatabaseCommand.Status}; returns null if
  *     the row can't be decoded
+ * @param backpressure counts the bytes that this process holds for callers
  */
 public record NodeDependencies(
     Member self,
@@ -44,5 +46,6 @@
     PromotionService promotions,
     PhysicalConnection.Opener connector,
     Function<String, DatabaseControl.@Nullable DatabaseStatus> statusDecoder,
+    CallerBackpressure backpressure,
     EventLog log,
     EdgeMetrics metrics) {}
--- a/edge/src/test/java/org/pollenspar/edge/connection/WatchMessagesTest.java
+++ b/edge/src/test/java/org/pollenspar/edge/connection/WatchMessagesTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.pollenspar.core.connection.CallerBackpressure;
 import org.pollenspar.core.connection.ForwardedWork;
 import org.pollenspar.core.connection.SessionContext;
 import org.pollenspar.core.process.CoordinationStore.Item;
@@ -62,7 +63,12 @@
               }
               SessionContext unused =
                   new SessionContext(() -> RouteTable.EMPTY, name -> null, null, null, null);
-              return new ForwardedWork(unused, name -> null, () -> false, work -> {});
+              return new ForwardedWork(
+                  unused,
+                  name -> null,
+                  () -> false,
+                  work -> {},
+                  new CallerBackpressure(new CallerBackpressure.Limits(0, 0, 0, 0)));
             });
   }
 
