core: reads avoid a database that fails more of them than the others

A database that is registered as ready and fails a part of its reads, or goes down and up by turns, kept its full share of the reads of each host: nothing but a refused connection kept reads away.

GroupRouter asks before reads are placed; writes and reads of the primary aren't affected.

--- a/core/src/main/java/org/pollenspar/core/connection/GroupRouter.java
+++ b/core/src/main/java/org/pollenspar/core/connection/GroupRouter.java
@@ -9,10 +9,12 @@
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.pollenspar.core.process.Clocks;
+import org.pollenspar.core.process.ControlListener;
 import org.pollenspar.core.process.PrimaryAuthority;
 import org.pollenspar.core.process.PrimaryRecord;
 import org.pollenspar.core.process.Timers;
 import org.pollenspar.core.request.Answer;
+import org.pollenspar.core.request.AnswerCode;
 import org.pollenspar.core.version.Route;
 import org.pollenspar.core.version.RouteKind;
 
@@ -65,6 +67,7 @@
   private final ConnectionPoolCounts counts = new ConnectionPoolCounts();
   private final PositionHistory positions = new PositionHistory();
   private final @Nullable RegionalReads regionalReads;
+  private final ReadOutliers outliers;
   private int share = 1;
 
   /** Creates a router without databases, for one region. */
@@ -76,13 +79,23 @@
       SlotPermits permits,
       Clocks clocks,
       Timers timers) {
-    this(group, ownDomain, authority, opener, permits, clocks, timers, null);
+    this(
+        group,
+        ownDomain,
+        authority,
+        opener,
+        permits,
+        clocks,
+        timers,
+        null,
+        (event, subject, detail) -> {});
   }
 
   /**
    * Creates a router without databases.
    *
    * @param regionalReads places reads in several regions; null for one region
+   * @param events receives an event when reads begin or cease to avoid a database
    */
   public GroupRouter(
       String group,
@@ -92,8 +105,10 @@
       SlotPermits permits,
       Clocks clocks,
       Timers timers,
-      @Nullable RegionalReads regionalReads) {
+      @Nullable RegionalReads regionalReads,
+      ControlListener events) {
     this.regionalReads = regionalReads;
+    this.outliers = new ReadOutliers(group, clocks, events);
     this.group = group;
     this.ownDomain = ownDomain;
     this.authority = authority;
@@ -130,6 +145,7 @@
       if (regionalReads != null) {
         regionalReads.forget(id);
       }
+      outliers.forget(id);
       if (pool != null) {
         pool.retire();
       }
@@ -232,6 +248,7 @@
         }
       }
     }
+    usable = outliers.preferred(usable, pools.values());
     if (regionalReads == null) {
       @Nullable ConnectionPool least = leastCost(usable, primary, route.priority(), organisation);
       return least == null ? null : readAt(least, primary, requiredPosition, null);
@@ -287,8 +304,36 @@
     return pool.expectedNanos(priority, organisation) + (remote ? REMOTE_PENALTY_NANOS : 0);
   }
 
-  /** Records a complete answer to a statement that was sent at {@code sentNanos}. */
-  public void observe(ConnectionPool pool, int priority, Answer answer, long sentNanos) {
+  /** Returns the decisions which databases reads avoid. */
+  ReadOutliers outliers() {
+    return outliers;
+  }
+
+  /**
+   * Records that an attempt of a read ended without an answer to the read itself, which shows
+   * whether reads should avoid the database.
+   *
+   * @param read false if it was no read, or its caller ended it; nothing is recorded then
+   */
+  void recordFailedRead(ConnectionPool pool, Answer answer, boolean read) {
+    if (read) {
+      outliers.record(pool, answer, pools.values());
+    }
+  }
+
+  /**
+   * Records the answer to a statement that was sent at {@code sentNanos}, or that it was lost.
+   *
+   * @param read whether the answer shows whether reads should avoid the database: not if it was a
+   *     write, or its caller ended it
+   */
+  void observe(ConnectionPool pool, int priority, Answer answer, long sentNanos, boolean read) {
+    if (read) {
+      outliers.record(pool, answer, pools.values());
+    }
+    if (answer.code() == AnswerCode.LOST) {
+      return;
+    }
     long now = clocks.steadyNanos();
     pool.recordAnswer(priority, answer.code(), now - sentNanos);
     if (regionalReads != null && !answer.code().hadNoEffect()) {
--- a/core/src/main/java/org/pollenspar/core/connection/SessionTransaction.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SessionTransaction.java
@@ -299,6 +299,7 @@
       if (answer.code() == AnswerCode.LAGGING) {
         router.markLagging(heldConnection.pool(), route, lastCommitPosition);
       }
+      router.recordFailedRead(heldConnection.pool(), answer, readOnly && !abandoned);
       if (answer.code() == AnswerCode.LOST) {
         discardConnection(heldConnection);
       } else {
@@ -368,9 +369,8 @@
       heldConnection.run(
           new DatabaseCommand.Forward(request.id(), request.statement(), name, null),
           answer -> {
-            if (answer.code() != AnswerCode.LOST) {
-              router.observe(heldConnection.pool(), route.priority(), answer, sentNanos);
-            }
+            boolean read = readOnly && !abandoned;
+            router.observe(heldConnection.pool(), route.priority(), answer, sentNanos, read);
             completed(
                 heldConnection,
                 commitsWrites ? GroupRouter.checkedCommit(answer, latest, term) : answer);
--- a/core/src/main/java/org/pollenspar/core/connection/SingleStatement.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SingleStatement.java
@@ -147,6 +147,7 @@
           if (failure == null) {
             send(granted);
           } else {
+            router.recordFailedRead(granted.pool(), failure, !writes);
             granted.pool().discard(granted);
             connection = null;
             retryOr(timedOut ? AnswerCode.TIMED_OUT : AnswerCode.BUSY, failure.detail());
@@ -194,9 +195,7 @@
   private void completed(
       PooledDatabaseConnection from, Answer answer, ClockReading sentAt, long term) {
     ConnectionPool pool = from.pool();
-    if (answer.code() != AnswerCode.LOST) {
-      router.observe(pool, route.priority(), answer, sentAt.steadyNanos());
-    }
+    router.observe(pool, route.priority(), answer, sentAt.steadyNanos(), !writes);
     if (answer.code() == AnswerCode.NO_SUCH_STATEMENT) {
       from.clearPreparedNames();
       sent = false;
--- a/core/src/test/java/org/pollenspar/core/connection/RegionsTest.java
+++ b/core/src/test/java/org/pollenspar/core/connection/RegionsTest.java
@@ -212,7 +212,8 @@
               SlotPermits.NONE,
               time,
               time,
-              new RegionalReads(REGIONS, "a", 1));
+              new RegionalReads(REGIONS, "a", 1),
+              (event, subject, detail) -> {});
       router.databases(
           List.of(SessionFixture.entry("p", "c", true), SessionFixture.entry("r1", "a", false)));
       router.share(2);
--- a/core/src/test/java/org/pollenspar/core/connection/TwoRegions.java
+++ b/core/src/test/java/org/pollenspar/core/connection/TwoRegions.java
@@ -102,7 +102,8 @@
               SlotPermits.NONE,
               time,
               time,
-              weighed ? new RegionalReads(REGIONS, domain, domain.hashCode()) : null);
+              weighed ? new RegionalReads(REGIONS, domain, domain.hashCode()) : null,
+              (event, subject, detail) -> {});
       home.databases(entries);
       home.share(6);
       authority.update(PrimaryRecord.leading(GROUP, "p", 1, 1, 10));
--- a/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
@@ -282,7 +282,8 @@
                 permits,
                 dependencies.clocks(),
                 dependencies.timers(),
-                RegionalReads.of(dependencies.regions(), dependencies.self(), group));
+                RegionalReads.of(dependencies.regions(), dependencies.self(), group),
+                dependencies.log());
         groupRouters.put(group, router);
         databasesChanged(group);
       }
