core: a database that reads avoid returns after a trial, gradually

All reads returned to an ejected database when its time was over, so one that still failed cost callers several attempts after each ejection.

OutlierTrial now sends a status query and six reads of this host first; no caller waits for them. The read is one that succeeded at another database during the ejection, sent without a required position and with the id "-". If one fails, the next trial is made after twice the time, up to 40 s. After a success, the share of the reads that may use the database grows from 10 % to all in 10 s, and two failures within it eject the database again. BUSY doesn't end a trial, since it says nothing about the fault.

A database that fails all receives at most 4 statements in the minute after its ejection, all of trials.

--- a/core/src/main/java/org/pollenspar/core/connection/ControlCommandRequest.java
+++ b/core/src/main/java/org/pollenspar/core/connection/ControlCommandRequest.java
@@ -41,6 +41,21 @@
       Clocks clocks,
       Timers timers,
       Consumer<@Nullable Answer> done) {
+    probe(
+        pool,
+        command,
+        clocks,
+        timers,
+        answer -> done.accept(answer != null && answer.ok() ? answer : null));
+  }
+
+  /** Runs a command. The callback receives null if no complete answer arrives in time. */
+  static void probe(
+      ConnectionPool pool,
+      DatabaseCommand command,
+      Clocks clocks,
+      Timers timers,
+      Consumer<@Nullable Answer> done) {
     ControlCommandRequest request = new ControlCommandRequest(pool, command, clocks, done);
     timers.after(TIMEOUT_MS, request::onTimeout);
     pool.acquire(request);
@@ -78,7 +93,7 @@
             pool.recordAnswer();
           }
           pool.release(granted, since);
-          end(answer.ok() ? answer : null);
+          end(answer.code() == AnswerCode.LOST ? null : answer);
         });
   }
 
--- a/core/src/main/java/org/pollenspar/core/connection/GroupRouter.java
+++ b/core/src/main/java/org/pollenspar/core/connection/GroupRouter.java
@@ -108,7 +108,7 @@
       @Nullable RegionalReads regionalReads,
       ControlListener events) {
     this.regionalReads = regionalReads;
-    this.outliers = new ReadOutliers(group, clocks, events);
+    this.outliers = new ReadOutliers(group, clocks, timers, events);
     this.group = group;
     this.ownDomain = ownDomain;
     this.authority = authority;
--- a/core/src/main/java/org/pollenspar/core/connection/ReadOutliers.java
+++ b/core/src/main/java/org/pollenspar/core/connection/ReadOutliers.java
@@ -8,8 +8,10 @@
 import org.jspecify.annotations.Nullable;
 import org.pollenspar.core.process.Clocks;
 import org.pollenspar.core.process.ControlListener;
+import org.pollenspar.core.process.Timers;
 import org.pollenspar.core.request.Answer;
 import org.pollenspar.core.request.AnswerCode;
+import org.pollenspar.core.request.SessionStatement;
 
 /**
  * Decides which databases of a group the reads of this host avoid, by the results of reads alone.
@@ -35,6 +37,10 @@
  * the last one that is in service. If only ejected ones can answer a read, they are used. Writes,
  * and reads that only the primary may answer, aren't asked about.
  *
+ * <p><b>Return.</b> When its time is over, {@link OutlierTrial} sends statements of this host. If
+ * it fails, the database is ejected again, for longer. If not, reads return to it over {@link
+ * #SLOW_START_MS}, and {@link #MIN_SLOW_START_FAILURES} failures eject it again.
+ *
  * <p>All methods run on one thread.
  */
 final class ReadOutliers {
@@ -43,6 +49,14 @@
   /** Failures within the window below which no database is ejected. */
   private static final int MIN_FAILURES = 3;
 
+  /** The same while reads return to a database. */
+  private static final int MIN_SLOW_START_FAILURES = 2;
+
+  /** Time in which the share of the reads that may use a database again grows from 0.1 to 1. */
+  private static final long SLOW_START_MS = 10_000;
+
+  private static final double FIRST_SHARE = 0.1;
+
   /** Attempts at another database that are needed for a comparison. */
   private static final int MIN_OTHER_ATTEMPTS = 2;
 
@@ -64,10 +78,13 @@
   /** Length of a first ejection. */
   private static final long MIN_EJECTION_MS = 5_000;
 
-  /** Bound of the length of an ejection, which doubles with each one that follows soon. */
+  /**
+   * Bound of the length of an ejection, which doubles with each one that follows, and with each
+   * failed trial.
+   */
   private static final long MAX_EJECTION_MS = 40_000;
 
-  /** Time in service after which the length of the next ejection is halved. */
+  /** Time in service after which the length of the next ejection is a quarter. */
   private static final long HEALTHY_NANOS = 60_000 * NANOS_PER_MILLI;
 
   /** What is known of one database. */
@@ -75,8 +92,12 @@
     final ReadResults results = new ReadResults();
     final ReadResults outages = new ReadResults();
     boolean ejected;
-    long untilNanos;
+    boolean failsReads;
+    long ejectedNanos;
+    boolean slowStart;
+    long returnedNanos;
     long lastEjectionMillis;
+    double returnCredit;
     long lostNanos;
     boolean lostBefore;
     boolean outage;
@@ -85,18 +106,24 @@
 
   private final String group;
   private final Clocks clocks;
+  private final Timers timers;
   private final ControlListener events;
   private final Map<String, Health> healthByDatabase = new HashMap<>();
   private long ejections;
 
+  /** A read that succeeded, which trials send; null if none was seen during an ejection. */
+  private SessionStatement.@Nullable Read example;
+
   /**
    * Creates the decisions of one group, with all databases in use.
    *
+   * @param timers run the trials
    * @param events receives an event for each ejection and return
    */
-  ReadOutliers(String group, Clocks clocks, ControlListener events) {
+  ReadOutliers(String group, Clocks clocks, Timers timers, ControlListener events) {
     this.group = group;
     this.clocks = clocks;
+    this.timers = timers;
     this.events = events;
   }
 
@@ -133,27 +160,47 @@
     List<ConnectionPool> preferred = new ArrayList<>();
     for (ConnectionPool pool : usable) {
       @Nullable Health health = healthByDatabase.get(pool.entry().id());
-      if (health == null || !avoids(pool.entry().id(), health, now)) {
+      if (health == null || mayReceive(health, now)) {
         preferred.add(pool);
       }
     }
     return preferred.isEmpty() ? usable : preferred;
   }
 
-  private boolean avoids(String database, Health health, long nowNanos) {
-    if (health.ejected && nowNanos - health.untilNanos >= 0) {
-      restore(database, health, nowNanos);
+  /** Returns whether a read may use a database; in its slow start, only a share of them may. */
+  private static boolean mayReceive(Health health, long nowNanos) {
+    if (health.ejected || !health.slowStart) {
+      return !health.ejected;
+    }
+    double elapsed = (double) (nowNanos - health.returnedNanos) / NANOS_PER_MILLI / SLOW_START_MS;
+    if (elapsed >= 1) {
+      health.slowStart = false;
+      return true;
+    }
+    health.returnCredit += FIRST_SHARE + (1 - FIRST_SHARE) * elapsed;
+    boolean may = health.returnCredit >= 1;
+    health.returnCredit -= may ? 1 : 0;
+    return may;
+  }
+
+  /** Returns whether an answer to a read shows a fault of the database. */
+  static boolean failed(AnswerCode code) {
+    return switch (code) {
+      case FAILED, LOST, TIMED_OUT -> true;
+      default -> false;
+    };
+  }
+
+  /** Keeps a read that succeeded for trials, if a database is ejected and none is kept yet. */
+  void succeeded(SessionStatement statement) {
+    if (example == null && ejectedNow() > 0 && statement instanceof SessionStatement.Read read) {
+      example = read;
     }
-    return health.ejected;
   }
 
   /** Records the result of a read, or of a command that prepared its connection. */
   void record(ConnectionPool pool, Answer answer, Collection<ConnectionPool> all) {
-    boolean failed =
-        switch (answer.code()) {
-          case FAILED, LOST, TIMED_OUT -> true;
-          default -> false;
-        };
+    boolean failed = failed(answer.code());
     if (!failed && !answer.ok()) {
       return;
     }
@@ -168,6 +215,7 @@
     }
     health.results.add(failed, now);
     if (failed && !health.ejected && failsMore(pool, health, all, now)) {
+      health.failsReads = true;
       eject(pool, health, all, now);
     }
   }
@@ -189,7 +237,8 @@
       }
     }
     double rate = (double) failures / health.results.attempts(nowNanos);
-    return failures >= MIN_FAILURES && rate >= 2 * best + MIN_EXCESS;
+    int needed = health.slowStart ? MIN_SLOW_START_FAILURES : MIN_FAILURES;
+    return failures >= needed && rate >= 2 * best + MIN_EXCESS;
   }
 
   /**
@@ -219,6 +268,7 @@
                         && other.usable()
                         && 3 * health(other).outages.failures(now) <= health.outages.failures(now));
     if (!health.ejected && others && health.outages.failures(now) >= MIN_OUTAGES) {
+      health.failsReads = false;
       eject(pool, health, all, now);
     }
   }
@@ -237,9 +287,9 @@
     }
     long millis = ejectionMillis(health, nowNanos);
     health.ejected = true;
-    health.untilNanos = nowNanos + millis * NANOS_PER_MILLI;
-    health.lastEjectionMillis = millis;
+    health.ejectedNanos = nowNanos;
     ejections++;
+    tryAfter(millis, pool, health);
     events.changed(
         "database_ejected",
         pool.entry().id(),
@@ -252,26 +302,52 @@
                 millis));
   }
 
-  /** Returns the length of a new ejection: twice the last one, halved for each healthy period. */
+  /** Returns the length of a new ejection: twice the last one, less for each healthy period. */
   private static long ejectionMillis(Health health, long nowNanos) {
     if (health.lastEjectionMillis == 0) {
       return MIN_EJECTION_MS;
     }
-    long healthyPeriods = Math.min(10, (nowNanos - health.untilNanos) / HEALTHY_NANOS);
-    long doubled = Math.min(MAX_EJECTION_MS, 2 * health.lastEjectionMillis);
-    return Math.max(MIN_EJECTION_MS, doubled >> Math.max(0, 2 * healthyPeriods));
+    long healthyPeriods = Math.min(10, (nowNanos - health.returnedNanos) / HEALTHY_NANOS);
+    return lengthAfter(health.lastEjectionMillis >> (2 * healthyPeriods));
   }
 
-  private void restore(String database, Health health, long nowNanos) {
+  private static long lengthAfter(long lastMillis) {
+    return Math.max(MIN_EJECTION_MS, Math.min(MAX_EJECTION_MS, 2 * lastMillis));
+  }
+
+  private void tryAfter(long millis, ConnectionPool pool, Health health) {
+    health.lastEjectionMillis = millis;
+    OutlierTrial trial =
+        new OutlierTrial(
+            pool,
+            () -> health.failsReads ? example : null,
+            clocks,
+            timers,
+            good -> trialEnded(good, pool, health));
+    timers.after(millis, trial::start);
+  }
+
+  private void trialEnded(boolean good, ConnectionPool pool, Health health) {
+    if (healthByDatabase.get(pool.entry().id()) != health) {
+      return;
+    }
+    if (!good) {
+      tryAfter(lengthAfter(health.lastEjectionMillis), pool, health);
+      return;
+    }
+    long now = clocks.steadyNanos();
     health.ejected = false;
+    health.slowStart = true;
+    health.returnedNanos = now;
+    health.returnCredit = 0;
     health.results.clear();
     health.outages.clear();
+    if (ejectedNow() == 0) {
+      example = null;
+    }
     events.changed(
         "database_restored",
-        database,
-        "group %s, after %d ms"
-            .formatted(
-                group,
-                health.lastEjectionMillis + (nowNanos - health.untilNanos) / NANOS_PER_MILLI));
+        pool.entry().id(),
+        "group %s, after %d ms".formatted(group, (now - health.ejectedNanos) / NANOS_PER_MILLI));
   }
 }
--- a/core/src/main/java/org/pollenspar/core/connection/SingleStatement.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SingleStatement.java
@@ -213,6 +213,7 @@
       retryOr(AnswerCode.BUSY, "the answer may be stale; retry later");
     } else {
       pool.markUpToDate();
+      router.outliers().succeeded(request.statement());
       finish(answer);
     }
   }
--- a/core/src/test/java/org/pollenspar/core/connection/ReadOutliersTest.java
+++ b/core/src/test/java/org/pollenspar/core/connection/ReadOutliersTest.java
@@ -98,15 +98,37 @@
       assertFalse(databases.events.toString().contains("database_ejected r2"));
     }
 
+    /** A database that stays bad costs callers no further reads: only trials reach it. */
     @Test
-    void furtherEjectionsTakeLonger() {
+    void noReadReturnsToOneThatStillFails() {
       FailingDatabases databases = warmedUp(1, 30);
       databases.fail("r1", 1, FailingDatabases.Fault.ERROR);
+      databases.applyLoad(2_000, 30);
+      databases.resetCounts();
       databases.applyLoad(60_000, 30);
-      assertTrue(databases.events.get(0).endsWith("for 5000 ms"), databases.events.toString());
-      assertTrue(
-          databases.events.stream().anyMatch(event -> event.endsWith("for 20000 ms")),
-          databases.events.toString());
+      // After 5, 10, 20 and 40 s; each trial ends with its first read.
+      assertTrue(databases.servers.get("r1").received <= 4);
+      assertEquals(1, databases.ejections());
+    }
+
+    /** Otherwise a replica that was repaired stays without reads, or gets all of them at once. */
+    @Test
+    void readsReturnGraduallyToOneThatIsGoodAgain() {
+      FailingDatabases databases = warmedUp(1, 30);
+      databases.fail("r1", 1, FailingDatabases.Fault.ERROR);
+      databases.applyLoad(3_000, 30);
+      databases.fail("r1", 0, FailingDatabases.Fault.ERROR);
+      while (databases.ejectedNow() > 0) {
+        databases.applyLoad(10, 30);
+      }
+      assertTrue(databases.time.steadyNanos() < 14_000_000_000L);
+      databases.resetCounts();
+      databases.applyLoad(2_000, 30);
+      assertTrue(databases.servers.get("r1").received < databases.offered / 3);
+      databases.applyLoad(10_000, 30);
+      databases.resetCounts();
+      databases.applyLoad(5_000, 30);
+      assertTrue(databases.servers.get("r1").received > databases.offered / 2);
     }
   }
 
