core: the latest 32 reads decide whether a database is avoided

Callers of a busy host kept losing attempts at a database that had begun to fail all reads: with 150 successes in the window of 10 s, a rate of 35 % takes 80 failures. ReadResults now keeps the latest 32 results of the window. With 1 % of failures, 5 of 32 fail with a probability of 1.3e-5.

--- a/core/src/main/java/org/pollenspar/core/connection/ReadResults.java
+++ b/core/src/main/java/org/pollenspar/core/connection/ReadResults.java
@@ -1,57 +1,54 @@
 package org.pollenspar.core.connection;
 
-import java.util.Arrays;
-
 /**
- * Counts the attempts and failures of reads at one database over a sliding window.
+ * The results of the latest reads at one database: at most {@link #KEPT} of the last {@link
+ * #WINDOW_NANOS}.
  *
- * <p>The window is long, because a host may send only one read a second to a database and must
- * still see several of its failures.
+ * <p>The time is long, because a host may send only one read a second to a database and must still
+ * see several of its failures. The number is small, so that many earlier successes don't hide for
+ * seconds that a busy database has begun to fail.
  */
 final class ReadResults {
-  private static final int BUCKETS = 10;
-  private static final long BUCKET_NANOS = 1_000_000_000L;
+  /**
+   * With 1 % of failures, 5 of 32 reads fail with a probability of 1.3e-5, so that a healthy
+   * database is hardly ever taken for a failing one.
+   */
+  private static final int KEPT = 32;
+
+  private static final long WINDOW_NANOS = 10_000_000_000L;
 
-  private final int[] attempts = new int[BUCKETS];
-  private final int[] failures = new int[BUCKETS];
-  private long newestBucket;
+  private final long[] recordedNanos = new long[KEPT];
+  private final boolean[] failed = new boolean[KEPT];
+  private int recorded;
 
   /** Adds one attempt. */
-  void add(boolean failed, long nowNanos) {
-    int index = Math.floorMod(advance(nowNanos), BUCKETS);
-    attempts[index]++;
-    failures[index] += failed ? 1 : 0;
+  void add(boolean hasFailed, long nowNanos) {
+    recordedNanos[recorded % KEPT] = nowNanos;
+    failed[recorded % KEPT] = hasFailed;
+    recorded++;
   }
 
-  /** Returns the number of attempts of the last 9 to 10 s. */
+  /** Returns the number of the latest attempts. */
   int attempts(long nowNanos) {
-    advance(nowNanos);
-    return Arrays.stream(attempts).sum();
+    return count(nowNanos, false);
   }
 
-  /** Returns the number of failures of the last 9 to 10 s. */
+  /** Returns how many of the latest attempts failed. */
   int failures(long nowNanos) {
-    advance(nowNanos);
-    return Arrays.stream(failures).sum();
+    return count(nowNanos, true);
   }
 
-  /** Discards all counts. */
-  void clear() {
-    Arrays.fill(attempts, 0);
-    Arrays.fill(failures, 0);
+  private int count(long nowNanos, boolean failuresOnly) {
+    int count = 0;
+    for (int i = 0; i < Math.min(recorded, KEPT); i++) {
+      boolean recent = nowNanos - recordedNanos[i] < WINDOW_NANOS;
+      count += recent && (failed[i] || !failuresOnly) ? 1 : 0;
+    }
+    return count;
   }
 
-  private long advance(long nowNanos) {
-    long bucket = Math.floorDiv(nowNanos, BUCKET_NANOS);
-    if (bucket - newestBucket >= BUCKETS) {
-      clear();
-    } else {
-      for (long each = newestBucket + 1; each <= bucket; each++) {
-        attempts[Math.floorMod(each, BUCKETS)] = 0;
-        failures[Math.floorMod(each, BUCKETS)] = 0;
-      }
-    }
-    newestBucket = bucket;
-    return bucket;
+  /** Discards all results. */
+  void clear() {
+    recorded = 0;
   }
 }
