--- a/core/src/main/java/org/pollenspar/core/connection/GroupRouter.java
+++ b/core/src/main/java/org/pollenspar/core/connection/GroupRouter.java
@@ -166,6 +166,21 @@
     return counts;
   }
 
+  /** Returns how often reads of this host began to avoid a database since the start. */
+  public long ejections() {
+    return outliers.ejections();
+  }
+
+  /** Returns the number of databases that reads of this host avoid now. */
+  public int ejectedNow() {
+    return outliers.ejectedNow();
+  }
+
+  /** Returns the number of reads that the limit of an attempt moved to another database. */
+  public long readsMoved() {
+    return attemptLimit.ended();
+  }
+
   /** Returns the pools of all databases. */
   public Collection<ConnectionPool> pools() {
     return pools.values();
--- a/core/src/main/java/org/pollenspar/core/connection/ReadOutliers.java
+++ b/core/src/main/java/org/pollenspar/core/connection/ReadOutliers.java
@@ -96,6 +96,7 @@
     final ReadResults outages = new ReadResults();
     boolean ejected;
     boolean failsReads;
+    int failedTrials;
     long ejectedNanos;
     boolean slowStart;
     long returnedNanos;
@@ -291,6 +292,7 @@
     long millis = ejectionMillis(health, nowNanos);
     health.ejected = true;
     health.ejectedNanos = nowNanos;
+    health.failedTrials = 0;
     ejections++;
     tryAfter(millis, pool, health);
     events.changed(
@@ -335,6 +337,7 @@
       return;
     }
     if (!good) {
+      health.failedTrials++;
       tryAfter(lengthAfter(health.lastEjectionMillis), pool, health);
       return;
     }
@@ -351,6 +354,7 @@
     events.changed(
         "database_restored",
         pool.entry().id(),
-        "group %s, after %d ms".formatted(group, (now - health.ejectedNanos) / NANOS_PER_MILLI));
+        "group %s, after %d ms and %d failed trials"
+            .formatted(group, (now - health.ejectedNanos) / NANOS_PER_MILLI, health.failedTrials));
   }
 }
--- a/core/src/test/java/org/pollenspar/core/connection/ReadOutliersTest.java
+++ b/core/src/test/java/org/pollenspar/core/connection/ReadOutliersTest.java
@@ -156,6 +156,9 @@
         databases.applyLoad(10, 30);
       }
       assertTrue(databases.time.steadyNanos() < 14_000_000_000L);
+      String restored = databases.events.get(1);
+      assertTrue(restored.contains("database_restored r1: group ledger, after "), restored);
+      assertTrue(restored.endsWith(" ms and 0 failed trials"), restored);
       databases.resetCounts();
       databases.applyLoad(2_000, 30);
       assertTrue(databases.servers.get("r1").received < databases.offered / 3);
--- a/edge/src/main/java/org/pollenspar/edge/process/HomeAssigner.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/HomeAssigner.java
@@ -208,6 +208,18 @@
           "connection_requests_refused{cause=\"" + cause.name().toLowerCase(Locale.ROOT) + "\"}",
           () -> sum(counts -> counts.refusals(cause)));
     }
+    registerReadGauges(metrics);
+  }
+
+  /** Registers gauges of the databases that reads avoid, for all groups together. */
+  private void registerReadGauges(EdgeMetrics metrics) {
+    metrics.gauge("database_ejections", () -> sumOfRouters(GroupRouter::ejections));
+    metrics.gauge("databases_ejected", () -> sumOfRouters(GroupRouter::ejectedNow));
+    metrics.gauge("reads_moved_by_attempt_limit", () -> sumOfRouters(GroupRouter::readsMoved));
+  }
+
+  private long sumOfRouters(ToLongFunction<GroupRouter> value) {
+    return routers.values().stream().mapToLong(value).sum();
   }
 
   private long sum(ToLongFunction<ConnectionPoolCounts> value) {
