core: reads that fail everywhere eject no database

Reads of all callers left a healthy database if one caller sent reads that are wrong themselves: the database that gets most reads saw their errors and the others mostly successes.

An error of a single read is now recorded once the same read has succeeded at another database; only that shows that the read is valid. Errors within transactions, which aren't repeated elsewhere, no longer count. Lost and missing answers count at once as before.

ReadOutliersTest passes; it also covers several regions and an avoided database that alone may answer now.

--- a/core/src/main/java/org/pollenspar/core/connection/GroupRouter.java
+++ b/core/src/main/java/org/pollenspar/core/connection/GroupRouter.java
@@ -369,7 +369,7 @@
    * Records the answer to a statement that was sent at {@code sentNanos}, or that it was lost.
    *
    * @param read whether the answer shows whether reads should avoid the database: not if it was a
-   *     write, or its caller ended it
+   *     write, its caller ended it, or an error may be due to the statement
    */
   void observe(ConnectionPool pool, Route route, Answer answer, long sentNanos, boolean read) {
     long now = clocks.steadyNanos();
--- a/core/src/main/java/org/pollenspar/core/connection/ReadOutliers.java
+++ b/core/src/main/java/org/pollenspar/core/connection/ReadOutliers.java
@@ -21,8 +21,10 @@
  * elsewhere, but its caller has lost time, and only a few attempts are made for a read.
  *
  * <p><b>Evidence.</b> Errors, answers lost with their connection and answers that didn't come in
- * time ({@link AttemptLimit}) are failures. Refusals are neither failures nor successes: a database
- * that is overloaded refuses, and avoiding it would overload the others. A refused read is repeated
+ * time ({@link AttemptLimit}) are failures. An error counts once the same read has succeeded at
+ * another database, since a read may be wrong itself; an error within a transaction, which isn't
+ * repeated, doesn't count. Refusals are neither failures nor successes: a database that is
+ * overloaded refuses, and avoiding it would overload the others. A refused read is repeated
  * elsewhere after one round trip, and {@link RankRateLimiter} already reduces the rate at the
  * database. Late answers are successes, for the same reason: when answers above 4 times the median
  * of the other databases counted as failures, 20 hosts made 37 ejections in a simulated overload of
--- a/core/src/main/java/org/pollenspar/core/connection/SessionTransaction.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SessionTransaction.java
@@ -369,7 +369,7 @@
       heldConnection.run(
           new DatabaseCommand.Forward(request.id(), request.statement(), name, null),
           answer -> {
-            boolean read = readOnly && !abandoned;
+            boolean read = readOnly && !abandoned && answer.code() != AnswerCode.FAILED;
             router.observe(heldConnection.pool(), route, answer, sentNanos, read);
             completed(
                 heldConnection,
--- a/core/src/main/java/org/pollenspar/core/connection/SingleStatement.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SingleStatement.java
@@ -47,6 +47,10 @@
   private final Consumer<Answer> done;
   private final boolean writes;
   private final Set<ConnectionPool> excluded = new HashSet<>();
+
+  /** Databases that answered this read with an error. */
+  private final Set<ConnectionPool> failedAt = new HashSet<>();
+
   private Timers.@Nullable Timer timeout;
   private Timers.@Nullable Timer attemptTimer;
   private GroupRouter.@Nullable StatementTarget target;
@@ -194,6 +198,16 @@
                 term));
   }
 
+  /**
+   * Records the errors of the databases that this read was tried at before. Only the success of
+   * another database shows that the read itself is valid.
+   */
+  private void readSucceeded() {
+    Answer error = Answer.error(AnswerCode.FAILED, "", TransactionState.IDLE);
+    failedAt.forEach(pool -> router.recordFailedRead(pool, error, true));
+    router.outliers().succeeded(request.statement());
+  }
+
   /**
    * Records that the session's values couldn't be restored, so that a read is repeated elsewhere.
    */
@@ -254,7 +268,8 @@
   private void completed(
       PooledDatabaseConnection from, Answer answer, ClockReading sentAt, long term) {
     ConnectionPool pool = from.pool();
-    router.observe(pool, route, answer, sentAt.steadyNanos(), !writes);
+    boolean read = !writes && answer.code() != AnswerCode.FAILED;
+    router.observe(pool, route, answer, sentAt.steadyNanos(), read);
     if (answer.code() == AnswerCode.NO_SUCH_STATEMENT) {
       from.clearPreparedNames();
       sent = false;
@@ -272,7 +287,7 @@
       retryOr(AnswerCode.BUSY, "the answer may be stale; retry later");
     } else {
       pool.markUpToDate();
-      router.outliers().succeeded(request.statement());
+      readSucceeded();
       finish(answer);
     }
   }
@@ -298,6 +313,9 @@
     if (answer.code() != AnswerCode.NO_SUCH_STATEMENT) {
       excluded.add(pool);
     }
+    if (answer.code() == AnswerCode.FAILED) {
+      failedAt.add(pool);
+    }
     if (answer.code() == AnswerCode.LAGGING) {
       router.markLagging(pool, route, lastCommitPosition);
     }
--- a/core/src/test/java/org/pollenspar/core/connection/FailingDatabases.java
+++ b/core/src/test/java/org/pollenspar/core/connection/FailingDatabases.java
@@ -13,6 +13,7 @@
 import org.pollenspar.core.process.FakeTime;
 import org.pollenspar.core.process.PrimaryAuthority;
 import org.pollenspar.core.process.PrimaryRecord;
+import org.pollenspar.core.process.Regions;
 import org.pollenspar.core.request.Answer;
 import org.pollenspar.core.request.AnswerCode;
 import org.pollenspar.core.request.DatabaseCommand;
@@ -67,11 +68,16 @@
   private final SessionContext context;
 
   FailingDatabases(int hostCount) {
+    this(hostCount, null);
+  }
+
+  /** Creates hosts in the failure domains a, b and c by turns. */
+  FailingDatabases(int hostCount, @Nullable Regions regions) {
     for (String id : List.of("p", "r1", "r2")) {
       servers.put(id, new Server());
     }
     for (int host = 0; host < hostCount; host++) {
-      hosts.add(host(host));
+      hosts.add(host(host, regions));
     }
     RouteTable routes = new RouteTable(1, Map.of(), Map.of(), 3_000);
     context =
@@ -84,20 +90,21 @@
                 attempts += route.kind() == RouteKind.BOUNDED ? attempted : 0);
   }
 
-  private GroupRouter host(int number) {
+  private GroupRouter host(int number, @Nullable Regions regions) {
     Confirmation confirmation = new Confirmation(time);
     PrimaryAuthority authority = new PrimaryAuthority(confirmation);
     renewRegularly(confirmation);
+    String domain = List.of("a", "b", "c").get(number % 3);
     GroupRouter router =
         new GroupRouter(
             GROUP,
-            List.of("a", "b", "c").get(number % 3),
+            domain,
             authority,
             this::open,
             SlotPermits.NONE,
             time,
             time,
-            null,
+            regions == null ? null : new RegionalReads(regions, domain, number),
             (event, subject, detail) ->
                 events.add(
                     time.steadyNanos() / 1_000_000 + " " + event + " " + subject + ": " + detail));
@@ -184,8 +191,12 @@
         });
   }
 
+  static Route route(RouteKind kind) {
+    return new Route("r", "r", GROUP, kind, 1_500, TIME_LIMIT_MS, OBJECTIVE_MS, 1);
+  }
+
   private void read(GroupRouter host, RouteKind kind, Consumer<Answer> done) {
-    Route route = new Route("r", "r", GROUP, kind, 1_500, TIME_LIMIT_MS, OBJECTIVE_MS, 1);
+    Route route = route(kind);
     SessionRequest request =
         new SessionRequest("q", new SessionStatement.Read("READ x"), time.steadyNanos());
     new SingleStatement(context, route, host, new SessionState(), request, null, done).start();
--- a/core/src/test/java/org/pollenspar/core/connection/ReadOutliersTest.java
+++ b/core/src/test/java/org/pollenspar/core/connection/ReadOutliersTest.java
@@ -5,12 +5,20 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.pollenspar.core.process.Regions;
+import org.pollenspar.core.request.Answer;
+import org.pollenspar.core.request.AnswerCode;
+import org.pollenspar.core.request.DatabaseCommand;
 import org.pollenspar.core.request.SessionStatement;
+import org.pollenspar.core.request.TransactionState;
+import org.pollenspar.core.version.RouteKind;
 
 /**
  * Guards against callers that lose time at a database that fails while it is registered as ready,
@@ -133,9 +141,12 @@
     }
 
     /** A database that stays bad costs callers no further reads: only trials reach it. */
-    @Test
-    void noReadReturnsToOneThatStillFails() {
-      FailingDatabases databases = warmedUp(1, 30);
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void noReadReturnsToOneThatStillFails(boolean severalRegions) {
+      Regions regions = new Regions(Map.of("a", "west", "b", "west", "c", "east"));
+      FailingDatabases databases = new FailingDatabases(1, severalRegions ? regions : null);
+      databases.applyLoad(WARM_UP_MS, 30);
       databases.fail("r1", 1, FailingDatabases.Fault.ERROR);
       databases.applyLoad(2_000, 30);
       databases.resetCounts();
@@ -145,6 +156,20 @@
       assertEquals(1, databases.ejections());
     }
 
+    /** A slow answer of a failing database is better than none. */
+    @Test
+    void theOnlyOneThatMayAnswerIsUsed() {
+      FailingDatabases databases = warmedUp(1, 30);
+      databases.fail("r1", 1, FailingDatabases.Fault.ERROR);
+      databases.applyLoad(2_000, 30);
+      GroupRouter host = databases.hosts.get(0);
+      assertTrue(host.outliers().ejected("r1"));
+      Set<ConnectionPool> others = Set.of(host.pool("p"), host.pool("r2"));
+      GroupRouter.StatementTarget target =
+          host.readTarget(FailingDatabases.route(RouteKind.BOUNDED), "", null, others, 0);
+      assertEquals("r1", target.pool().entry().id());
+    }
+
     /** Otherwise a replica that was repaired stays without reads, or gets all of them at once. */
     @Test
     void readsReturnGraduallyToOneThatIsGoodAgain() {
@@ -238,6 +263,26 @@
       assertTrue(fixture.databases.connections.stream().anyMatch(each -> each.closed));
     }
 
+    /** A read that fails at each database shows nothing about the databases. */
+    @Test
+    void readThatFailsEverywhereEjectsNothing() {
+      fixture.databases.script(
+          received ->
+              received.command() instanceof DatabaseCommand.Forward forward
+                      && forward.statement().equals(new SessionStatement.Read("READ bad"))
+                  ? Answer.error(AnswerCode.FAILED, "bad", TransactionState.IDLE)
+                  : null);
+      SessionFixture.Caller caller = fixture.caller("old");
+      for (int i = 0; i < 100; i++) {
+        fixture.confirmation.renewed(fixture.confirmation.now());
+        fixture.caller("till").send(new SessionStatement.Read("READ x"));
+        fixture.time.advance(30);
+        caller.send(new SessionStatement.Read(i % 3 == 0 ? "READ bad" : "READ x"));
+        fixture.time.advance(70);
+      }
+      assertEquals(0, fixture.router.ejections());
+    }
+
     /** Whether it ran isn't known, so a write must not be ended, nor may a read elsewhere. */
     @ParameterizedTest
     @ValueSource(strings = {"WRITE x data", "READ x"})
