--- a/core/src/main/java/org/pollenspar/core/connection/ConnectionPool.java
+++ b/core/src/main/java/org/pollenspar/core/connection/ConnectionPool.java
@@ -135,7 +135,8 @@
     return reachable() && !heldByPausedTransactions();
   }
 
-  private boolean reachable() {
+  /** Returns whether the database is in service and not known to be unreachable. */
+  boolean reachable() {
     return !retired && !opening.unreachable();
   }
 
--- a/core/src/main/java/org/pollenspar/core/connection/GroupRouter.java
+++ b/core/src/main/java/org/pollenspar/core/connection/GroupRouter.java
@@ -10,10 +10,12 @@
 import org.jspecify.annotations.Nullable;
 import org.pollenspar.core.process.ClockReading;
 import org.pollenspar.core.process.Clocks;
+import org.pollenspar.core.process.ControlListener;
 import org.pollenspar.core.process.PrimaryAuthority;
 import org.pollenspar.core.process.PrimaryRecord;
 import org.pollenspar.core.process.Timers;
 import org.pollenspar.core.request.Answer;
+import org.pollenspar.core.request.AnswerCode;
 import org.pollenspar.core.version.Route;
 import org.pollenspar.core.version.RouteKind;
 
@@ -66,6 +68,8 @@
   private final ConnectionPoolCounts counts = new ConnectionPoolCounts();
   private final PositionHistory positions = new PositionHistory();
   private final @Nullable RegionalReads regionalReads;
+  private final ReadOutliers outliers;
+  private final AttemptLimit attemptLimit;
   private int share = 1;
 
   /** Creates a router without databases, for one region. */
@@ -77,13 +81,23 @@
       SlotPermits permits,
       Clocks clocks,
       Timers timers) {
-    this(group, ownDomain, authority, opener, permits, clocks, timers, null);
+    this(
+        group,
+        ownDomain,
+        authority,
+        opener,
+        permits,
+        clocks,
+        timers,
+        null,
+        (event, subject, detail) -> {});
   }
 
   /**
    * Creates a router without databases.
    *
    * @param regionalReads places reads in several regions; null for one region
+   * @param events receives an event when reads begin or cease to avoid a database
    */
   public GroupRouter(
       String group,
@@ -93,8 +107,11 @@
       SlotPermits permits,
       Clocks clocks,
       Timers timers,
-      @Nullable RegionalReads regionalReads) {
+      @Nullable RegionalReads regionalReads,
+      ControlListener events) {
     this.regionalReads = regionalReads;
+    this.outliers = new ReadOutliers(group, clocks, timers, events);
+    this.attemptLimit = new AttemptLimit(clocks);
     this.group = group;
     this.ownDomain = ownDomain;
     this.authority = authority;
@@ -131,6 +148,8 @@
       if (regionalReads != null) {
         regionalReads.forget(id);
       }
+      outliers.forget(id);
+      attemptLimit.forget(id);
       if (pool != null) {
         pool.retire();
       }
@@ -148,6 +167,21 @@
     return counts;
   }
 
+  /** Returns how often reads of this host began to avoid a database since the start. */
+  public long ejections() {
+    return outliers.ejections();
+  }
+
+  /** Returns the number of databases that reads of this host avoid now. */
+  public int ejectedNow() {
+    return outliers.ejectedNow();
+  }
+
+  /** Returns the number of reads that the limit of an attempt moved to another database. */
+  public long readsMoved() {
+    return attemptLimit.ended();
+  }
+
   /** Returns the pools of all databases. */
   public Collection<ConnectionPool> pools() {
     return pools.values();
@@ -235,6 +269,7 @@
         }
       }
     }
+    usable = outliers.preferred(usable, pools.values());
     if (regionalReads == null) {
       @Nullable ConnectionPool least = leastCost(usable, primary, route.priority(), organisation);
       return least == null ? null : readAt(least, primary, requiredPosition, null);
@@ -245,6 +280,32 @@
     return choice == null ? null : readAt(choice.database(), primary, requiredPosition, choice);
   }
 
+  /**
+   * Returns whether another database than those that were tried may answer a read, and reads don't
+   * avoid it.
+   */
+  boolean mayReadElsewhere(
+      Route route,
+      @Nullable Position lastCommitPosition,
+      ConnectionPool at,
+      Set<ConnectionPool> tried) {
+    @Nullable ConnectionPool primary = primary();
+    boolean atReplicas = requiredPosition(route, lastCommitPosition) != null;
+    return pools.values().stream()
+        .anyMatch(
+            pool ->
+                pool != at
+                    && (pool == primary || atReplicas)
+                    && !tried.contains(pool)
+                    && mayAnswerReads(pool)
+                    && !outliers.ejected(pool.entry().id()));
+  }
+
+  /** Returns the limits of attempts of reads. */
+  AttemptLimit attemptLimit() {
+    return attemptLimit;
+  }
+
   /** Returns the primary as the target of a statement; null if there is none. */
   @Nullable StatementTarget primaryTarget() {
     @Nullable ConnectionPool primary = primary();
@@ -290,13 +351,42 @@
     return pool.expectedNanos(priority, organisation) + (remote ? REMOTE_PENALTY_NANOS : 0);
   }
 
-  /** Records a complete answer to a statement that was sent at {@code sentAt}. */
-  public void observe(ConnectionPool pool, int priority, Answer answer, ClockReading sentAt) {
+  /** Returns the decisions which databases reads avoid. */
+  ReadOutliers outliers() {
+    return outliers;
+  }
+
+  /**
+   * Records that an attempt of a read ended without an answer to the read itself, which shows
+   * whether reads should avoid the database.
+   *
+   * @param read false if it was no read, or its caller ended it; nothing is recorded then
+   */
+  void recordFailedRead(ConnectionPool pool, Answer answer, boolean read) {
+    if (read) {
+      outliers.record(pool, answer, pools.values());
+    }
+  }
+
+  /**
+   * Records the answer to a statement that was sent at {@code sentAt}, or that it was lost.
+   *
+   * @param read whether the answer shows whether reads should avoid the database: not if it was a
+   *     write, its caller ended it, or an error may be due to the statement
+   */
+  void observe(ConnectionPool pool, Route route, Answer answer, ClockReading sentAt, boolean read) {
     long now = clocks.steadyNanos();
-    long tookNanos = now - sentAt.steadyNanos();
-    pool.recordAnswer(priority, answer.code(), tookNanos);
+    long took = now - sentAt.steadyNanos();
+    if (read) {
+      outliers.record(pool, answer, pools.values());
+    }
+    attemptLimit.record(pool, route, answer.code(), sentAt.steadyNanos(), read);
+    if (answer.code() == AnswerCode.LOST) {
+      return;
+    }
+    pool.recordAnswer(route.priority(), answer.code(), took);
     if (regionalReads != null && !answer.code().hadNoEffect()) {
-      regionalReads.record(pool, priority, tookNanos, now);
+      regionalReads.record(pool, route.priority(), took, now);
     }
     recordPosition(pool, answer, sentAt);
   }
--- a/core/src/main/java/org/pollenspar/core/connection/SessionTransaction.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SessionTransaction.java
@@ -289,6 +289,7 @@
       if (answer.code() == AnswerCode.LAGGING) {
         router.markLagging(heldConnection.pool(), route, lastCommitPosition);
       }
+      router.recordFailedRead(heldConnection.pool(), answer, readOnly && !abandoned);
       if (answer.code() == AnswerCode.LOST) {
         discardConnection(heldConnection);
       } else {
@@ -358,9 +359,8 @@
       heldConnection.run(
           new DatabaseCommand.Forward(request.id(), request.statement(), name, null),
           answer -> {
-            if (answer.code() != AnswerCode.LOST) {
-              router.observe(heldConnection.pool(), route.priority(), answer, sentAt);
-            }
+            boolean read = readOnly && !abandoned && answer.code() != AnswerCode.FAILED;
+            router.observe(heldConnection.pool(), route, answer, sentAt, read);
             completed(
                 heldConnection,
                 commitsWrites ? GroupRouter.checkedCommit(answer, latest, term) : answer);
