core: a first coordinator keeps what a replaced second knew of a third

Callers of an organisation got more operations than its limit permits, for up to 6 s, if a first coordinator was cut off and replaced, and the second, which knew of that, left or was replaced before the record of the former first had ended.

Cause: the second's acknowledgement told the new first that a third host may still grant. The new first used that only until it had the acknowledgement of the next second, which knows of no third one, and went to the full rate beside the host that is cut off.

Change: if the last acknowledgement of a second named a third host when the second is replaced, the first grants at half of the rate for 6.5 s. An ordinary replacement isn't concerned, since the second knows of a third only until the replaced one has answered.

The test QuotaTest.whatAReplacedSecondKnewOfAThirdIsKept failed before (expected: <HALF> but was: <FULL>) and passes now.

--- a/core/src/main/java/org/pollenspar/core/connection/QuotaCoordinator.java
+++ b/core/src/main/java/org/pollenspar/core/connection/QuotaCoordinator.java
@@ -99,6 +99,9 @@
   /** Epoch in the last acknowledgement of the present second coordinator; null for none. */
   private @Nullable Long otherEpoch;
 
+  /** Whether the present second knows of a third host that may still grant. */
+  private boolean secondKnowsThird;
+
   /** Tokens that the first coordinator set aside when it went from the full rate to half. */
   private double setAside;
 
@@ -156,6 +159,11 @@
   }
 
   private void otherReplaced(Role newRole, @Nullable String newOther) {
+    if (secondKnowsThird) {
+      // The next second doesn't know of that host.
+      sharedFor(FormerCoordinators.CUT_OFF_MS);
+      secondKnowsThird = false;
+    }
     if (other != null) {
       @Nullable ClockReading heard = heardAt;
       boolean heardSince = heard != null && heard.steadyNanos() > otherSince.steadyNanos();
@@ -279,6 +287,7 @@
     @Nullable Long known = otherEpoch;
     boolean grantedNothing = known != null && known == answer.epoch();
     otherEpoch = answer.epoch();
+    secondKnowsThird = !answer.sole();
     heardAny = true;
     @Nullable ClockReading last = heardAt;
     // Acknowledgements that overtake each other must not shorten the promise.
--- a/core/src/test/java/org/pollenspar/core/connection/QuotaTest.java
+++ b/core/src/test/java/org/pollenspar/core/connection/QuotaTest.java
@@ -12,6 +12,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.pollenspar.core.process.ClockReading;
+import org.pollenspar.core.process.FakeTime;
 import org.pollenspar.core.process.Member;
 import org.pollenspar.core.version.Organisation.RateLimit;
 
@@ -223,6 +225,24 @@
     }
   }
 
+  /** Guards against the whole rate beside a host that only a second that has left knew of. */
+  @Test
+  void whatAReplacedSecondKnewOfAThirdIsKept() {
+    FakeTime time = new FakeTime();
+    QuotaCoordinator first =
+        new QuotaCoordinator(
+            "acme", new RateLimit(RATE, 50), 1, time, (event, subject, detail) -> {});
+    first.assign(QuotaCoordinator.Role.FIRST, "b", 0, member -> true);
+    first.acknowledged("b", ClockReading.now(time), new QuotaAcknowledgement(true, false, 1));
+    assertEquals(QuotaCoordinator.Mode.HALF, first.asked());
+    first.assign(QuotaCoordinator.Role.FIRST, "c", 0, member -> !member.equals("b"));
+    first.acknowledged("c", ClockReading.now(time), new QuotaAcknowledgement(true, true, 1));
+    assertEquals(QuotaCoordinator.Mode.HALF, first.asked());
+    time.advance(6_500);
+    first.acknowledged("c", ClockReading.now(time), new QuotaAcknowledgement(true, true, 1));
+    assertEquals(QuotaCoordinator.Mode.FULL, first.asked());
+  }
+
   @Nested
   class Bucket {
     private static final long SECOND = 1_000_000_000;
