core: where a statement would go now, and why, without sending it

To explain a refusal or a distant database, operators had only the log of statements that had run.

The deciding code is used, not copied: - GroupRouter.readCandidates and obstacle choose for readTarget and for explanations. A refill applies the present rate to the time since the last one, so a question before a change of the rate would change later starts.

--- a/core/src/main/java/org/pollenspar/core/connection/ConnectionPool.java
+++ b/core/src/main/java/org/pollenspar/core/connection/ConnectionPool.java
@@ -48,6 +48,8 @@
   /** Mean duration of one use of a connection, assumed before the first use has ended. */
   private static final double INITIAL_MEAN_USE_NANOS = 20e6;
 
+  private static final String UNREACHABLE = "unreachable";
+
   private final Clocks clocks;
   private final Timers timers;
   private final ConnectionPoolCounts counts;
@@ -136,6 +138,20 @@
    * <p>An organisation without connections also waits for the more urgent requests of the others.
    */
   public double expectedNanos(int priority, String organisation) {
+    return expectedNanos(priority, organisation, rateLimiter::waitNanos);
+  }
+
+  /** Returns the same as {@link #expectedNanos} and changes no decision that follows. */
+  double estimatedNanos(int priority, String organisation) {
+    return expectedNanos(priority, organisation, rateLimiter::estimatedWaitNanos);
+  }
+
+  /** Returns the wait for the rate limit, in nanoseconds; see {@link RankRateLimiter#waitNanos}. */
+  private interface RateLimitWait {
+    long nanos(int priority, int waiting, long nowNanos);
+  }
+
+  private double expectedNanos(int priority, String organisation, RateLimitWait rateLimitWait) {
     double requestsAhead =
         queue.requestsAhead(priority, organisation) + Math.max(0, connections.busy() + 1 - share);
     double connectionWaitNanos =
@@ -150,17 +166,37 @@
     double admissionWaitNanos =
         admission.permitNeeded(priority)
             ? admission.waitNanos(priority)
-            : rateLimiter.waitNanos(
+            : rateLimitWait.nanos(
                 priority, queue.turnsAhead(priority, organisation), clocks.steadyNanos());
     return meanUseNanos + Math.max(connectionWaitNanos, admissionWaitNanos);
   }
 
+  /** Returns the mean duration of one use of a connection, in nanoseconds. */
+  double meanUseNanos() {
+    return meanUseNanos;
+  }
+
   /**
-   * Returns how long a new request of a rank and organisation is expected to wait here, in
-   * nanoseconds.
+   * Returns with which reason {@link #acquire} would refuse a request now, and changes nothing;
+   * null if the request would start, wait in the queue or ask for a permit.
    */
-  double queueNanos(int priority, String organisation) {
-    return expectedNanos(priority, organisation) - meanUseNanos;
+  @Nullable String refusal(int priority, String organisation, long maxWaitNanos) {
+    if (!usable()) {
+      return refusalText(UNREACHABLE);
+    }
+    boolean startsNow =
+        connections.idle(organisation) > 0
+            && rateLimiter.wouldStart(priority, clocks.steadyNanos());
+    if (startsNow || permitNeeded(priority)) {
+      return null;
+    }
+    double wait = estimatedNanos(priority, organisation) - meanUseNanos;
+    return wait > maxWaitNanos ? refusalText(overloaded(wait)) : null;
+  }
+
+  /** Returns whether a request of a rank needs a permit of the database's broker now. */
+  boolean permitNeeded(int priority) {
+    return admission.permitNeeded(priority);
   }
 
   /** Returns how long ago the database last answered, in milliseconds; -1 if never. */
@@ -183,7 +219,7 @@
    */
   public void acquire(ConnectionRequest request) {
     if (!usable()) {
-      refuse(request, ConnectionPoolCounts.Refusal.UNREACHABLE, "unreachable");
+      refuse(request, ConnectionPoolCounts.Refusal.UNREACHABLE, UNREACHABLE);
       return;
     }
     if (admission.permitNeeded(request.priority())) {
@@ -198,7 +234,7 @@
    */
   private void startPermitted(ConnectionRequest request) {
     if (!usable()) {
-      refuse(request, ConnectionPoolCounts.Refusal.UNREACHABLE, "unreachable");
+      refuse(request, ConnectionPoolCounts.Refusal.UNREACHABLE, UNREACHABLE);
     } else if (!startNow(request)) {
       if (request instanceof PermittedRequest withPermit) {
         queuedWithPermit.put(withPermit.request(), withPermit);
@@ -227,10 +263,7 @@
   private void enqueue(ConnectionRequest request) {
     double wait = expectedNanos(request.priority(), request.organisation()) - meanUseNanos;
     if (!(request instanceof PermittedRequest) && wait > request.maxWaitNanos()) {
-      refuse(
-          request,
-          ConnectionPoolCounts.Refusal.OVERLOADED,
-          "overloaded; retry in " + Math.round(wait / NANOS_PER_MILLI) + " ms");
+      refuse(request, ConnectionPoolCounts.Refusal.OVERLOADED, overloaded(wait));
       return;
     }
     queue.add(request);
@@ -241,7 +274,15 @@
   private void refuse(ConnectionRequest request, ConnectionPoolCounts.Refusal cause, String state) {
     forgetQueuedPermit(request);
     counts.countRefusal(cause);
-    request.refused(AnswerCode.BUSY, "database " + entry.id() + " is " + state);
+    request.refused(AnswerCode.BUSY, refusalText(state));
+  }
+
+  private String refusalText(String state) {
+    return "database " + entry.id() + " is " + state;
+  }
+
+  private static String overloaded(double waitNanos) {
+    return "overloaded; retry in " + Math.round(waitNanos / NANOS_PER_MILLI) + " ms";
   }
 
   private boolean grant(ConnectionRequest request) {
--- a/core/src/main/java/org/pollenspar/core/connection/ForwardingExecutor.java
+++ b/core/src/main/java/org/pollenspar/core/connection/ForwardingExecutor.java
@@ -50,7 +50,8 @@
     return tried.size() < MAX_ATTEMPTS ? homes.next(group, organisation, tried) : null;
   }
 
-  static String noHome(String group) {
+  /** Returns the text of a refusal because no home host can be asked. */
+  public static String noHome(String group) {
     return "no home host of group " + group + " can run this now; retry in 300 ms";
   }
 }
--- a/core/src/main/java/org/pollenspar/core/connection/GroupRouter.java
+++ b/core/src/main/java/org/pollenspar/core/connection/GroupRouter.java
@@ -4,7 +4,6 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
@@ -216,30 +215,70 @@
       @Nullable Position lastCommitPosition,
       Set<ConnectionPool> excluded,
       long remainingNanos) {
-    @Nullable ConnectionPool primary = primary();
     if (route.kind() == RouteKind.PRIMARY) {
       return primaryTarget();
     }
-    @Nullable Position requiredPosition = requiredPosition(route, lastCommitPosition);
-    List<ConnectionPool> usable = new ArrayList<>();
-    if (primary != null && primary.usable() && !excluded.contains(primary)) {
-      usable.add(primary);
-    }
-    if (requiredPosition != null) {
-      for (ConnectionPool pool : pools.values()) {
-        if (pool != primary && !excluded.contains(pool) && mayAnswerReads(pool)) {
-          usable.add(pool);
-        }
-      }
-    }
+    ReadCandidates candidates = readCandidates(route, lastCommitPosition, excluded);
     if (regionalReads == null) {
-      @Nullable ConnectionPool least = leastCost(usable, primary, route.priority(), organisation);
-      return least == null ? null : readAt(least, primary, requiredPosition, null);
+      @Nullable ConnectionPool least =
+          leastCost(candidates, route.priority(), organisation, ConnectionPool::expectedNanos);
+      return least == null ? null : candidates.target(least, null);
     }
     ReadPlacement.@Nullable Choice<ConnectionPool> choice =
         regionalReads.choose(
-            usable, primary, route.priority(), organisation, remainingNanos, clocks.steadyNanos());
-    return choice == null ? null : readAt(choice.database(), primary, requiredPosition, choice);
+            candidates.usable(),
+            candidates.primary(),
+            route.priority(),
+            organisation,
+            remainingNanos,
+            clocks.steadyNanos());
+    return choice == null ? null : candidates.target(choice.database(), choice);
+  }
+
+  /**
+   * Returns the databases that may answer a read on a route that isn't {@link RouteKind#PRIMARY}.
+   */
+  ReadCandidates readCandidates(
+      Route route, @Nullable Position lastCommitPosition, Set<ConnectionPool> excluded) {
+    ReadCandidates candidates =
+        new ReadCandidates(
+            primary(), requiredPosition(route, lastCommitPosition), new ArrayList<>());
+    @Nullable ConnectionPool primary = candidates.primary();
+    if (primary != null && !excluded.contains(primary) && obstacle(primary, candidates) == null) {
+      candidates.usable().add(primary);
+    }
+    for (ConnectionPool pool : pools.values()) {
+      if (pool != primary && !excluded.contains(pool) && obstacle(pool, candidates) == null) {
+        candidates.usable().add(pool);
+      }
+    }
+    return candidates;
+  }
+
+  /** Returns why a database may not answer a read now; null if it may. */
+  @Nullable ReadObstacle obstacle(ConnectionPool pool, ReadCandidates candidates) {
+    if (!pool.usable()) {
+      return ReadObstacle.UNREACHABLE;
+    }
+    if (pool == candidates.primary()) {
+      return null;
+    }
+    if (candidates.requiredPosition() == null) {
+      return ReadObstacle.NO_POSITION;
+    }
+    if (pool.lagging()) {
+      return ReadObstacle.LAGGING;
+    }
+    return pool.entry().draining() ? ReadObstacle.DRAINING : null;
+  }
+
+  /** Returns what places reads in several regions; null with one region. */
+  @Nullable RegionalReads regionalReads() {
+    return regionalReads;
+  }
+
+  long nowNanos() {
+    return clocks.steadyNanos();
   }
 
   /** Returns the primary as the target of a statement; null if there is none. */
@@ -251,29 +290,13 @@
             primary, null, true, regionalReads == null ? null : regionalReads.atPrimary(primary));
   }
 
-  private static boolean mayAnswerReads(ConnectionPool replica) {
-    return replica.usable() && !replica.lagging() && !replica.entry().draining();
-  }
-
-  private static StatementTarget readAt(
-      ConnectionPool pool,
-      @Nullable ConnectionPool primary,
-      @Nullable Position requiredPosition,
-      ReadPlacement.@Nullable Choice<ConnectionPool> placement) {
-    boolean atPrimary = pool == primary;
-    return new StatementTarget(pool, atPrimary ? null : requiredPosition, atPrimary, placement);
-  }
-
-  private @Nullable ConnectionPool leastCost(
-      List<ConnectionPool> usable,
-      @Nullable ConnectionPool primary,
-      int priority,
-      String organisation) {
+  /** Returns the database with the least cost; null without candidates. */
+  @Nullable ConnectionPool leastCost(
+      ReadCandidates candidates, int priority, String organisation, ExpectedTime expected) {
     @Nullable ConnectionPool best = null;
     double bestCost = Double.MAX_VALUE;
-    for (ConnectionPool pool : usable) {
-      double cost =
-          cost(pool, priority, organisation) + (pool == primary ? PRIMARY_PENALTY_NANOS : 0);
+    for (ConnectionPool pool : candidates.usable()) {
+      double cost = cost(pool, candidates.primary(), priority, organisation, expected);
       if (cost < bestCost) {
         best = pool;
         bestCost = cost;
@@ -282,9 +305,17 @@
     return best;
   }
 
-  private double cost(ConnectionPool pool, int priority, String organisation) {
+  /** Returns the expected time at a database, with the additions for its distance and its role. */
+  double cost(
+      ConnectionPool pool,
+      @Nullable ConnectionPool primary,
+      int priority,
+      String organisation,
+      ExpectedTime expected) {
     boolean remote = !pool.entry().domain().equals(ownDomain);
-    return pool.expectedNanos(priority, organisation) + (remote ? REMOTE_PENALTY_NANOS : 0);
+    return expected.nanos(pool, priority, organisation)
+        + (remote ? REMOTE_PENALTY_NANOS : 0)
+        + (pool == primary ? PRIMARY_PENALTY_NANOS : 0);
   }
 
   /** Records a complete answer to a statement that was sent at {@code sentNanos}. */
--- a/core/src/main/java/org/pollenspar/core/connection/HomeSelection.java
+++ b/core/src/main/java/org/pollenspar/core/connection/HomeSelection.java
@@ -28,6 +28,56 @@
  * <p>All methods run on one thread.
  */
 public final class HomeSelection {
+  /** Why a home is avoided. */
+  public enum Obstacle {
+    /** It didn't answer, and has answered no ping since. */
+    SILENT,
+    /** It declined a statement within the last second. */
+    TAKES_NO_WORK,
+    /** It couldn't reach the group's databases within the last second. */
+    DATABASES_UNREACHABLE
+  }
+
+  /** Why a home is chosen. */
+  public enum Reason {
+    /** This host is the home, or every host is one. */
+    THIS_HOST,
+    /** It is the first home of the organisation. */
+    FIRST_OF_ORGANISATION,
+    /** It is the first home in this host's order and in its failure domain. */
+    OWN_DOMAIN,
+    /** It is the first home in this host's order and in its region; none is in its domain. */
+    OWN_REGION,
+    /** It is the first home in this host's order; none is nearer. */
+    NONE_NEARER,
+    /** Those before it are avoided, since they fail. */
+    FAILING_AVOIDED,
+    /** All homes are avoided; the first may have recovered. */
+    ALL_AVOIDED
+  }
+
+  /**
+   * A home of a group or of an organisation in it.
+   *
+   * @param obstacle why it is avoided; null if it isn't
+   */
+  public record Home(Member member, @Nullable Obstacle obstacle) {}
+
+  /**
+   * The home at which a statement would run.
+   *
+   * @param homes homes in the order of their use, without this host if the organisation has no
+   *     homes of its own; empty if every host is a home
+   * @param chosen null if there is no home
+   * @param reason null if there is no home
+   */
+  public record Choice(List<Home> homes, @Nullable Member chosen, @Nullable Reason reason) {
+    /** Returns whether the statement runs at the host that was asked. */
+    public boolean here() {
+      return reason == Reason.THIS_HOST;
+    }
+  }
+
   private static final long PING_INTERVAL_MS = 500;
 
   /** How long a home that takes no work, or can't reach the databases of a group, is avoided. */
@@ -110,8 +160,7 @@
    * host is never returned.
    */
   public @Nullable Member next(String group, String organisation, Set<Member> tried) {
-    @Nullable List<Member> ownOrder = ownOrder(group, organisation);
-    List<Member> homes = ownOrder != null ? ownOrder : homesByGroup.getOrDefault(group, List.of());
+    List<Member> homes = order(group, organisation);
     @Nullable Member fallback = null;
     for (Member home : homes) {
       if (tried.contains(home) || home.name().equals(self.name())) {
@@ -126,10 +175,55 @@
     return tried.isEmpty() ? fallback : null;
   }
 
+  private List<Member> order(String group, String organisation) {
+    @Nullable List<Member> ownOrder = ownOrder(group, organisation);
+    return ownOrder != null ? ownOrder : homesByGroup.getOrDefault(group, List.of());
+  }
+
+  /**
+   * Returns where a statement of an organisation would run, and why. Changes nothing.
+   *
+   * @param home whether this host is a home of the group; see {@link #runsHere}
+   */
+  public Choice explain(String group, String organisation, boolean home) {
+    List<Member> order = order(group, organisation);
+    List<Home> homes = order.stream().map(each -> new Home(each, obstacle(group, each))).toList();
+    if (runsHere(group, organisation, home)) {
+      return new Choice(homes, self, Reason.THIS_HOST);
+    }
+    @Nullable Member next = next(group, organisation, Set.of());
+    return new Choice(homes, next, next == null ? null : reason(group, organisation, next));
+  }
+
+  private Reason reason(String group, String organisation, Member chosen) {
+    if (avoided(group, chosen)) {
+      return Reason.ALL_AVOIDED;
+    }
+    if (!order(group, organisation).get(0).equals(chosen)) {
+      return Reason.FAILING_AVOIDED;
+    }
+    if (ownOrder(group, organisation) != null) {
+      return Reason.FIRST_OF_ORGANISATION;
+    }
+    return switch (regions.distance(self.domain(), chosen.domain())) {
+      case SAME_DOMAIN -> Reason.OWN_DOMAIN;
+      case SAME_REGION -> regions.several() ? Reason.OWN_REGION : Reason.NONE_NEARER;
+      case OTHER_REGION -> Reason.NONE_NEARER;
+    };
+  }
+
   private boolean avoided(String group, Member home) {
-    return home.incarnation().equals(silent.get(home.name()))
-        || avoided.contains(home.name())
-        || avoided.contains(key(group, home));
+    return obstacle(group, home) != null;
+  }
+
+  private @Nullable Obstacle obstacle(String group, Member home) {
+    if (home.incarnation().equals(silent.get(home.name()))) {
+      return Obstacle.SILENT;
+    }
+    if (avoided.contains(home.name())) {
+      return Obstacle.TAKES_NO_WORK;
+    }
+    return avoided.contains(key(group, home)) ? Obstacle.DATABASES_UNREACHABLE : null;
   }
 
   private static String key(String group, Member home) {
--- a/core/src/main/java/org/pollenspar/core/connection/QuotaSelection.java
+++ b/core/src/main/java/org/pollenspar/core/connection/QuotaSelection.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 import org.pollenspar.core.process.Member;
 import org.pollenspar.core.process.Rendezvous;
@@ -45,6 +46,12 @@
     return Math.max(1, members.get().size());
   }
 
+  /** Returns the coordinators of an organisation, the first one first; at most two. */
+  public List<Member> coordinators(String organisation) {
+    Coordinators chosen = of(organisation);
+    return Stream.of(chosen.first(), chosen.second()).flatMap(Stream::ofNullable).toList();
+  }
+
   Coordinators of(String organisation) {
     return known.computeIfAbsent(organisation, this::choose);
   }
--- a/core/src/main/java/org/pollenspar/core/connection/RankRateLimiter.java
+++ b/core/src/main/java/org/pollenspar/core/connection/RankRateLimiter.java
@@ -99,23 +99,46 @@
   }
 
   private static void refill(TokenBucket bucket, long nowNanos) {
-    double elapsed = (double) (nowNanos - bucket.refilledNanos) / NANOS_PER_SECOND;
-    bucket.tokens = Math.min(2, bucket.tokens + elapsed * bucket.rate);
+    bucket.tokens = tokens(bucket, nowNanos);
     bucket.refilledNanos = nowNanos;
   }
 
+  private static double tokens(TokenBucket bucket, long nowNanos) {
+    double elapsed = (double) (nowNanos - bucket.refilledNanos) / NANOS_PER_SECOND;
+    return Math.min(2, bucket.tokens + elapsed * bucket.rate);
+  }
+
   /**
    * Returns how long a new request waits for the rate limit, in nanoseconds.
    *
    * @param waiting requests of the rank that wait already
    */
   long waitNanos(int priority, int waiting, long nowNanos) {
+    TokenBucket bucket = buckets.get(priority);
+    if (bucket != null && bucket.limited) {
+      refill(bucket, nowNanos);
+    }
+    return estimatedWaitNanos(priority, waiting, nowNanos);
+  }
+
+  /**
+   * Returns the same as {@link #waitNanos} and changes nothing. A refill applies the present rate
+   * to the time since the last one, so an additional refill before a change of the rate would
+   * change later decisions.
+   */
+  long estimatedWaitNanos(int priority, int waiting, long nowNanos) {
     TokenBucket bucket = buckets.get(priority);
     if (bucket == null || !bucket.limited) {
       return 0;
     }
-    refill(bucket, nowNanos);
-    return (long) (Math.max(0, waiting + 1 - bucket.tokens) / bucket.rate * NANOS_PER_SECOND);
+    double tokens = tokens(bucket, nowNanos);
+    return (long) (Math.max(0, waiting + 1 - tokens) / bucket.rate * NANOS_PER_SECOND);
+  }
+
+  /** Returns what {@link #tryStart} would return, and counts nothing. */
+  boolean wouldStart(int priority, long nowNanos) {
+    TokenBucket bucket = buckets.get(priority);
+    return bucket == null || !bucket.limited || tokens(bucket, nowNanos) >= 1;
   }
 
   /** Records the latency of an answer to a request of a rank, including the database's queue. */
--- a/core/src/main/java/org/pollenspar/core/connection/ReadPlacement.java
+++ b/core/src/main/java/org/pollenspar/core/connection/ReadPlacement.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.random.RandomGenerator;
+import java.util.stream.DoubleStream;
 import org.jspecify.annotations.Nullable;
 import org.pollenspar.core.process.Regions.Distance;
 
@@ -75,6 +76,27 @@
   /** The chosen database. */
   record Choice<T>(T database, Distance distance, Reason reason) {}
 
+  /** A choice and the part of the reads for which it is made, above 0 and up to 1. */
+  record Share<T>(Choice<T> choice, double part) {}
+
+  /**
+   * The choice before the random draw.
+   *
+   * @param kept database of the reads that aren't spread; null if all are
+   * @param spreadPart part of the reads that are spread
+   * @param spread databases over which these are spread by their expected times
+   */
+  private record Plan<T>(
+      @Nullable Choice<T> kept, double spreadPart, List<Candidate<T>> spread, Reason spreadReason) {
+    static <T> Plan<T> keep(Choice<T> choice) {
+      return new Plan<>(choice, 0, List.of(), choice.reason());
+    }
+
+    static <T> Plan<T> spread(List<Candidate<T>> candidates, Reason reason) {
+      return new Plan<>(null, 1, candidates, reason);
+    }
+  }
+
   /**
    * Difference in latency below which the part of the reads that leaves no longer depends on it.
    */
@@ -105,6 +127,44 @@
    * @param remainingNanos what is left of the latency objective of the read
    */
   <T> @Nullable Choice<T> choose(Collection<Candidate<T>> candidates, double remainingNanos) {
+    @Nullable Plan<T> plan = plan(candidates, remainingNanos);
+    return plan == null ? null : draw(plan);
+  }
+
+  /**
+   * Returns where reads run and which part of them, the largest part first; empty if there is no
+   * candidate. Draws no random number.
+   */
+  <T> List<Share<T>> shares(Collection<Candidate<T>> candidates, double remainingNanos) {
+    @Nullable Plan<T> plan = plan(candidates, remainingNanos);
+    List<Share<T>> shares = new ArrayList<>();
+    if (plan == null) {
+      return shares;
+    }
+    double spreadPart = Math.min(1, plan.spreadPart());
+    if (plan.kept() != null && spreadPart < 1) {
+      shares.add(new Share<>(plan.kept(), 1 - spreadPart));
+    }
+    double[] weights = weights(plan.spread());
+    double total = DoubleStream.of(weights).sum();
+    for (int i = 0; i < weights.length && spreadPart > 0; i++) {
+      Choice<T> choice = choice(plan.spread().get(i), plan.spreadReason());
+      shares.add(new Share<>(choice, spreadPart * weights[i] / total));
+    }
+    shares.sort(Comparator.comparingDouble(share -> -share.part()));
+    return shares;
+  }
+
+  private <T> Choice<T> draw(Plan<T> plan) {
+    @Nullable Choice<T> kept = plan.kept();
+    if (kept != null && !(plan.spreadPart() > 0 && random.nextDouble() < plan.spreadPart())) {
+      return kept;
+    }
+    return choice(drawSpread(plan.spread()), plan.spreadReason());
+  }
+
+  private static <T> @Nullable Plan<T> plan(
+      Collection<Candidate<T>> candidates, double remainingNanos) {
     List<Candidate<T>> own = candidates.stream().filter(Candidate::inOwnRegion).toList();
     List<Candidate<T>> early = answersWithin(own, OWN_REGION_FRACTION * remainingNanos);
     if (!early.isEmpty()) {
@@ -117,11 +177,11 @@
       return inOwnRegion(inTime, own);
     }
     if (!otherInTime.isEmpty()) {
-      return choice(spread(otherInTime), own.isEmpty() ? Reason.NONE_NEARER : Reason.OBJECTIVE);
+      return Plan.spread(otherInTime, own.isEmpty() ? Reason.NONE_NEARER : Reason.OBJECTIVE);
     }
     return candidates.stream()
         .min(Comparator.comparingDouble(Candidate::responseNanos))
-        .map(best -> choice(best, Reason.LATE))
+        .map(best -> Plan.keep(choice(best, Reason.LATE)))
         .orElse(null);
   }
 
@@ -140,12 +200,12 @@
   }
 
   /**
-   * Returns the choice among databases of the own region.
+   * Returns the plan for databases of the own region.
    *
    * @param candidates those that are expected to answer in time
    * @param all those that may answer
    */
-  private <T> Choice<T> inOwnRegion(List<Candidate<T>> candidates, List<Candidate<T>> all) {
+  private static <T> Plan<T> inOwnRegion(List<Candidate<T>> candidates, List<Candidate<T>> all) {
     List<Candidate<T>> outside = new ArrayList<>();
     @Nullable Candidate<T> local = null;
     @Nullable Candidate<T> bestOutside = null;
@@ -159,19 +219,17 @@
     }
     if (local == null) {
       boolean ownDomain = all.stream().anyMatch(Candidate::inOwnDomain);
-      return choice(spread(outside), ownDomain ? Reason.SHORTER_WAIT : Reason.NONE_NEARER);
+      return Plan.spread(outside, ownDomain ? Reason.SHORTER_WAIT : Reason.NONE_NEARER);
     }
-    if (bestOutside == null || !leaves(local, bestOutside)) {
-      return choice(local, Reason.NEAREST);
-    }
-    return choice(spread(outside), Reason.SHORTER_WAIT);
+    double leaving = bestOutside == null ? 0 : leavingPart(local, bestOutside);
+    return new Plan<>(choice(local, Reason.NEAREST), leaving, outside, Reason.SHORTER_WAIT);
   }
 
-  private boolean leaves(Candidate<?> local, Candidate<?> outside) {
+  /** Returns the part of the reads that leaves the own domain; above 1 if all do. */
+  private static double leavingPart(Candidate<?> local, Candidate<?> outside) {
     double gain = local.responseNanos() - outside.responseNanos();
     double difference = outside.latencyNanos() - local.latencyNanos();
-    return gain > 0
-        && random.nextDouble() < gain / Math.max(MIN_LATENCY_DIFFERENCE_NANOS, difference);
+    return Math.max(0, gain) / Math.max(MIN_LATENCY_DIFFERENCE_NANOS, difference);
   }
 
   private static <T> Candidate<T> better(@Nullable Candidate<T> known, Candidate<T> other) {
@@ -179,12 +237,8 @@
   }
 
   /** Chooses one at random, the more probably the shorter its expected response time is. */
-  private <T> Candidate<T> spread(List<Candidate<T>> candidates) {
-    double least = leastNanos(candidates) - SPREAD_NANOS;
-    double[] weights =
-        candidates.stream()
-            .mapToDouble(each -> Math.pow(each.responseNanos() - least, -2))
-            .toArray();
+  private <T> Candidate<T> drawSpread(List<Candidate<T>> candidates) {
+    double[] weights = weights(candidates);
     double total = 0;
     for (double weight : weights) {
       total += weight;
@@ -198,6 +252,13 @@
     return candidates.get(index);
   }
 
+  private static <T> double[] weights(List<Candidate<T>> candidates) {
+    double least = leastNanos(candidates) - SPREAD_NANOS;
+    return candidates.stream()
+        .mapToDouble(each -> Math.pow(each.responseNanos() - least, -2))
+        .toArray();
+  }
+
   private static <T> Choice<T> choice(Candidate<T> candidate, Reason reason) {
     return new Choice<>(candidate.database(), candidate.distance(), reason);
   }
--- a/core/src/main/java/org/pollenspar/core/connection/RegionalReads.java
+++ b/core/src/main/java/org/pollenspar/core/connection/RegionalReads.java
@@ -93,6 +93,24 @@
       String organisation,
       long remainingNanos,
       long nowNanos) {
+    return placement.choose(
+        candidates(
+            usable, primary, priority, organisation, ConnectionPool::expectedNanos, nowNanos),
+        remainingNanos);
+  }
+
+  /**
+   * Returns the databases as the placement compares them.
+   *
+   * @param expected expected time of a request at a database
+   */
+  List<ReadPlacement.Candidate<ConnectionPool>> candidates(
+      Collection<ConnectionPool> usable,
+      @Nullable ConnectionPool primary,
+      int priority,
+      String organisation,
+      ExpectedTime expected,
+      long nowNanos) {
     double work = usualWorkNanos(priority);
     List<ReadPlacement.Candidate<ConnectionPool>> candidates = new ArrayList<>();
     for (ConnectionPool pool : usable) {
@@ -107,12 +125,18 @@
               distance,
               latency,
               excess
-                  + pool.queueNanos(priority, organisation)
+                  + (expected.nanos(pool, priority, organisation) - pool.meanUseNanos())
                   + connecting
                   + (pool == primary ? PRIMARY_PENALTY_NANOS : 0),
               times == null ? 0 : times.deviationNanos(priority, nowNanos)));
     }
-    return placement.choose(candidates, remainingNanos);
+    return candidates;
+  }
+
+  /** Returns at which of these databases reads run, without a random draw. */
+  List<ReadPlacement.Share<ConnectionPool>> shares(
+      List<ReadPlacement.Candidate<ConnectionPool>> candidates, long remainingNanos) {
+    return placement.shares(candidates, remainingNanos);
   }
 
   private static double latencyNanos(@Nullable ResponseTimes times, Distance distance) {
--- a/core/src/main/java/org/pollenspar/core/connection/SingleStatement.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SingleStatement.java
@@ -28,7 +28,7 @@
  * acknowledged the revocation of the primary; after that the write is in doubt.
  */
 final class SingleStatement implements StatementExecutor.StatementExecution, ConnectionRequest {
-  private static final int MAX_ATTEMPTS = 4;
+  static final int MAX_ATTEMPTS = 4;
 
   /** Advance of the wall clock over the steady clock that shows that this host was paused. */
   private static final long PAUSE_MS = 300;
@@ -106,7 +106,11 @@
   }
 
   private String unavailable() {
-    return "no database of group " + router.group() + " can run this now; retry in 300 ms";
+    return unavailable(router.group());
+  }
+
+  static String unavailable(String group) {
+    return "no database of group " + group + " can run this now; retry in 300 ms";
   }
 
   @Override
--- a/core/src/main/java/org/pollenspar/core/process/Confirmation.java
+++ b/core/src/main/java/org/pollenspar/core/process/Confirmation.java
@@ -71,6 +71,11 @@
     return ageMillis() < VALID_MS;
   }
 
+  /** Returns for how many milliseconds it is still valid if it isn't renewed; 0 if it isn't. */
+  public long remainingMillis() {
+    return Math.max(0, VALID_MS - ageMillis());
+  }
+
   /** Returns a check whether the present confirmation still is valid, whatever renewals follow. */
   BooleanSupplier withoutRenewals() {
     @Nullable ClockReading sent = confirmedAt;
--- a/core/src/main/java/org/pollenspar/core/process/PrimaryAuthority.java
+++ b/core/src/main/java/org/pollenspar/core/process/PrimaryAuthority.java
@@ -21,6 +21,19 @@
  * <p>Not thread-safe: used by the thread that owns the state of the host.
  */
 public final class PrimaryAuthority {
+  /** Whether the recorded primary of a group may be used, or why it may not. */
+  public enum Use {
+    USABLE,
+    /** No record of the group's primary is known. */
+    UNKNOWN,
+    /** The primary is being replaced. */
+    CHANGING,
+    /** Another database claims to be the primary. */
+    SUSPENDED,
+    /** This host's confirmation isn't valid. */
+    UNCONFIRMED
+  }
+
   private final Confirmation confirmation;
   private final Map<String, PrimaryRecord> records = new HashMap<>();
   private final Map<String, Integer> writesInProgress = new HashMap<>();
@@ -121,10 +134,22 @@
   /** Returns the database that may be used as the primary now; null if there is none. */
   public @Nullable String primary(String group) {
     @Nullable PrimaryRecord record = records.get(group);
-    if (record == null || record.changing() || suspendedGroups.contains(group)) {
-      return null;
+    return record != null && use(group) == Use.USABLE ? record.database() : null;
+  }
+
+  /** Returns whether the recorded primary of a group may be used now, or why it may not. */
+  public Use use(String group) {
+    @Nullable PrimaryRecord record = records.get(group);
+    if (record == null) {
+      return Use.UNKNOWN;
+    }
+    if (record.changing()) {
+      return Use.CHANGING;
+    }
+    if (suspendedGroups.contains(group)) {
+      return Use.SUSPENDED;
     }
-    return confirmation.holds() ? record.database() : null;
+    return confirmation.holds() ? Use.USABLE : Use.UNCONFIRMED;
   }
 
   /** Returns whether a database still is the primary and leads this term. */
--- a/core/src/main/java/org/pollenspar/core/version/RouteTable.java
+++ b/core/src/main/java/org/pollenspar/core/version/RouteTable.java
@@ -52,9 +52,22 @@
    * #NO_ORGANISATION} if the route needs no key; null if the key admits the caller to nothing.
    */
   public @Nullable String organisation(Route route, String key) {
-    if (organisations == null || route.isPublic()) {
+    return organisations != null && needsKey(route) ? organisations.holderOf(key) : NO_ORGANISATION;
+  }
+
+  /** Returns whether callers of a route need a key. */
+  public boolean needsKey(Route route) {
+    return organisations != null && !route.isPublic();
+  }
+
+  /**
+   * Returns the organisation for which statements of an organisation's callers run on a route;
+   * {@link #NO_ORGANISATION} if the route needs no key; null if no organisation has the name.
+   */
+  public @Nullable String organisationNamed(Route route, String name) {
+    if (organisations == null || !needsKey(route)) {
       return NO_ORGANISATION;
     }
-    return organisations.holderOf(key);
+    return organisations.named(name) == null ? null : name;
   }
 }
