platform: GET /pollenspar/explain on the readiness address

The answer states for a database name, a kind and optionally an organisation and a position: configuration version, route, organisation with its limit and coordinators, whether and for how long primaries may be used, the homes in order with the reason of the choice and, if this host is the home, each database with its role, times and obstacle, the chosen one, and the refusals with their texts.

Questions run on the event loop, which owns the state. One is answered every 10 ms and at most 4 wait; others get status 503. So the time that they take is bounded however many arrive. A connection that sends another request before its question is answered is closed, since answers must come in order.

The refusal of a session is decided in SessionRefusals, for callers and for questions. Unknown parameters are refused and not repeated in the answer.

Result: ExplainEndToEndTest runs the real process: texts equal those that a caller gets, counters of connections and grants stay the same, and the host passes a readiness probe with a timeout of 1 s while 200 questions are pending. CallerServerTest and OddStoreValuesTest pass unchanged.

--- a/core/src/main/java/org/pollenspar/core/connection/CallerSession.java
+++ b/core/src/main/java/org/pollenspar/core/connection/CallerSession.java
@@ -309,6 +309,11 @@
   }
 
   private String unknownDatabase() {
+    return unknownDatabase(database);
+  }
+
+  /** Returns the text of a refusal because nothing serves a database name. */
+  public static String unknownDatabase(String database) {
     return "no route for database " + database + "; use a configured database name";
   }
 
--- a/core/src/main/java/org/pollenspar/core/connection/GroupExplanation.java
+++ b/core/src/main/java/org/pollenspar/core/connection/GroupExplanation.java
@@ -39,6 +39,7 @@
   /**
    * A database of the group.
    *
+   * @param region its region; empty if it is unknown or there is only one
    * @param primary whether it is the recorded primary
    * @param obstacle why it may not run the statement now; null if it may
    * @param expectedNanos expected time until an answer, with the wait for a connection
@@ -50,6 +51,7 @@
    */
   public record Database(
       DatabaseEntry entry,
+      String region,
       boolean primary,
       @Nullable ReadObstacle obstacle,
       double expectedNanos,
@@ -191,11 +193,13 @@
       Map<ConnectionPool, Double> parts = new HashMap<>();
       targets(Set.of()).forEach(target -> parts.put(target.pool(), target.part()));
       @Nullable PrimaryRecord record = router.authority().record(router.group());
+      @Nullable RegionalReads regional = router.regionalReads();
       List<Database> databases = new ArrayList<>();
       for (ConnectionPool pool : router.pools()) {
         databases.add(
             new Database(
                 pool.entry(),
+                regional == null ? "" : regional.region(pool),
                 record != null && record.database().equals(pool.entry().id()),
                 obstacle(pool, candidates),
                 pool.estimatedNanos(route.priority(), organisation),
--- a/core/src/main/java/org/pollenspar/core/connection/RegionalReads.java
+++ b/core/src/main/java/org/pollenspar/core/connection/RegionalReads.java
@@ -75,6 +75,11 @@
     return regions.distance(ownDomain, pool.entry().domain());
   }
 
+  /** Returns the region of a database; empty if it is unknown. */
+  String region(ConnectionPool pool) {
+    return regions.region(pool.entry().domain());
+  }
+
   /** Returns the choice of the primary for a statement that no other database may answer. */
   ReadPlacement.Choice<ConnectionPool> atPrimary(ConnectionPool primary) {
     return new ReadPlacement.Choice<>(primary, distance(primary), ReadPlacement.Reason.PRIMARY);
--- a/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
@@ -29,7 +29,7 @@
 import org.pollenspar.core.process.PrimaryAuthority;
 import org.pollenspar.core.process.PrimaryClaims;
 import org.pollenspar.core.process.SharedRenewal;
-import org.pollenspar.core.version.Route;
+import org.pollenspar.core.request.Refusal;
 import org.pollenspar.core.version.RouteTable;
 
 /**
@@ -364,22 +364,26 @@
     return routes.version() >= 0;
   }
 
-  /** Returns whether sessions may be opened; false once the process is about to exit. */
-  public boolean acceptsSessions() {
-    return !refusing;
-  }
-
   /** Returns whether a route exists for the database name that a caller gave. */
   public boolean hasRoute(String database) {
     return routes.route(database) != null;
   }
 
   /**
-   * Returns whether a caller with a key is served on the route of a database name, which exists.
+   * Returns the refusal of a session; null if it may be opened.
+   *
+   * @param key key of the caller; empty for none
    */
-  public boolean admits(String database, String key) {
-    @Nullable Route route = routes.route(database);
-    return route != null && routes.organisation(route, key) != null;
+  public @Nullable Refusal refusalOfSession(String database, String key) {
+    return SessionRefusals.of(
+        routes, refusing, database, route -> routes.organisation(route, key) != null);
+  }
+
+  /** Explains where a statement would go now, and changes nothing. */
+  public HostExplanation explain(ExplainQuestion question) {
+    return new NodeExplainer(
+            dependencies.self(), authority, confirmation, groupRouters, homes, quotas)
+        .explain(question, ready(), refusing, routes);
   }
 
   /**
--- a/edge/src/main/java/org/pollenspar/edge/process/HomeAssigner.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/HomeAssigner.java
@@ -11,6 +11,7 @@
 import org.pollenspar.core.connection.ForwardingExecutor;
 import org.pollenspar.core.connection.GroupRouter;
 import org.pollenspar.core.connection.HomeAssignment;
+import org.pollenspar.core.connection.HomeSelection;
 import org.pollenspar.core.connection.LocalExecutor;
 import org.pollenspar.core.connection.OrganisationExecutor;
 import org.pollenspar.core.connection.OrganisationHomes;
@@ -184,6 +185,13 @@
     return home ? new LocalExecutor(router) : forwarding;
   }
 
+  /** Returns at which home a statement of an organisation would run; see {@link #executor}. */
+  HomeSelection.Choice explain(String group, String organisation) {
+    @Nullable HomeAssignment assignment = assignments.get(group);
+    boolean home = assignment == null || assignment.includes(self.name());
+    return forwarding.homes().explain(group, organisation, home);
+  }
+
   /** Returns the number of groups of which this host is a home. */
   int homeGroups() {
     return (int) assignments.values().stream().filter(each -> each.includes(self.name())).count();
--- a/edge/src/main/java/org/pollenspar/edge/process/NodeQuotas.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/NodeQuotas.java
@@ -1,5 +1,6 @@
 package org.pollenspar.edge.process;
 
+import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -11,12 +12,14 @@
 import org.pollenspar.core.connection.QuotaService;
 import org.pollenspar.core.connection.StatementExecutor;
 import org.pollenspar.core.process.FleetTable;
+import org.pollenspar.core.process.Member;
 import org.pollenspar.core.version.RouteTable;
 
 /** Wires the limits on the rates of organisations on one host. */
 final class NodeQuotas {
   private final QuotaCoordinators coordinators;
   private final QuotaClient client;
+  private final QuotaSelection selection;
 
   NodeQuotas(
       NodeDependencies dependencies,
@@ -24,7 +27,7 @@
       Supplier<RouteTable> routes,
       BooleanSupplier confirmed) {
     String self = dependencies.self().name();
-    QuotaSelection selection = new QuotaSelection(table::members);
+    this.selection = new QuotaSelection(table::members);
     this.coordinators =
         new QuotaCoordinators(
             self,
@@ -61,6 +64,11 @@
     };
   }
 
+  /** Returns the hosts that coordinate an organisation's rate, the first one first. */
+  List<Member> coordinators(String organisation) {
+    return selection.coordinators(organisation);
+  }
+
   void configurationChanged() {
     coordinators.assign();
   }
