--- a/cli/src/main/java/org/pollenspar/cli/PollensparMain.java
+++ b/cli/src/main/java/org/pollenspar/cli/PollensparMain.java
@@ -60,6 +60,7 @@
     commands.put("status", new StatusCommand());
     commands.put("timeline", new TimelineCommand());
     commands.put("request", new RequestCommand());
+    commands.put("explain", new ExplainCommand());
     return commands;
   }
 
