--- a/core/src/main/java/org/pollenspar/core/connection/ConnectionPool.java
+++ b/core/src/main/java/org/pollenspar/core/connection/ConnectionPool.java
@@ -37,19 +37,12 @@
 public final class ConnectionPool {
   private static final long NANOS_PER_MILLI = 1_000_000;
 
-  /** Weight of the latest use in the mean duration of a use. */
-  private static final double SMOOTHING = 0.1;
-
   private static final long RATE_LIMIT_POLL_MS = 20;
 
   private static final String HELD =
       "held by transactions whose callers pause; retry in 300 ms at another host";
 
-  /** Time to open a connection: 12 ms of the database's work, and the way there and back. */
-  private static final double OPENING_NANOS = 14e6;
-
-  /** Mean duration of one use of a connection, assumed before the first use has ended. */
-  private static final double INITIAL_MEAN_USE_NANOS = 20e6;
+  private static final String UNREACHABLE = "unreachable";
 
   private final Clocks clocks;
   private final Timers timers;
@@ -61,12 +54,12 @@
   private final ConnectionOpening opening;
   private final RankRateLimiter rateLimiter = new RankRateLimiter();
   private final BrokeredAdmission admission;
+  private final ExpectedWait expected;
   private final Map<ConnectionRequest, PermittedRequest> queuedWithPermit = new HashMap<>();
   private boolean rateLimitPollScheduled;
   private DatabaseEntry entry;
   private int share = 1;
   private boolean retired;
-  private double meanUseNanos = INITIAL_MEAN_USE_NANOS;
   private long lastAnswerNanos;
   private boolean answered;
   private long laggingUntilNanos;
@@ -92,6 +85,7 @@
       Timers timers) {
     this.entry = entry;
     this.admission = new BrokeredAdmission(permits, counts, clocks);
+    this.expected = new ExpectedWait(connections, queue, distribution, admission, clocks);
     this.opening =
         new ConnectionOpening(
             this, opener, connections, queue, distribution, counts, clocks, timers);
@@ -169,31 +163,43 @@
    * <p>An organisation without connections also waits for the more urgent requests of the others.
    */
   public double expectedNanos(int priority, String organisation) {
-    double requestsAhead =
-        queue.requestsAhead(priority, organisation) + Math.max(0, connections.busy() + 1 - share);
-    double connectionWaitNanos =
-        meanUseNanos * requestsAhead / distribution.usable(organisation, share);
-    if (connections.held(organisation) == 0) {
-      connectionWaitNanos +=
-          meanUseNanos * queue.moreUrgentOfOthers(priority, organisation) / share;
-    }
-    if (distribution.mustMakeRoom(organisation, share)) {
-      connectionWaitNanos += OPENING_NANOS;
-    }
-    double admissionWaitNanos =
-        admission.permitNeeded(priority)
-            ? admission.waitNanos(priority)
-            : rateLimiter.waitNanos(
-                priority, queue.turnsAhead(priority, organisation), clocks.steadyNanos());
-    return meanUseNanos + Math.max(connectionWaitNanos, admissionWaitNanos);
+    return expected.nanos(priority, organisation, share, rateLimiter::waitNanos);
+  }
+
+  /** Returns the same as {@link #expectedNanos} and changes no decision that follows. */
+  double estimatedNanos(int priority, String organisation) {
+    return expected.nanos(priority, organisation, share, rateLimiter::estimatedWaitNanos);
+  }
+
+  /** Returns the mean duration of one use of a connection, in nanoseconds. */
+  double meanUseNanos() {
+    return expected.meanUseNanos();
   }
 
   /**
-   * Returns how long a new request of a rank and organisation is expected to wait here, in
-   * nanoseconds.
+   * Returns with which reason {@link #acquire} would refuse a request now, and changes nothing;
+   * null if the request would start, wait in the queue or ask for a permit.
    */
-  double queueNanos(int priority, String organisation) {
-    return expectedNanos(priority, organisation) - meanUseNanos;
+  @Nullable String refusal(int priority, String organisation, long maxWaitNanos) {
+    if (!reachable()) {
+      return refusalText(UNREACHABLE);
+    }
+    if (heldByPausedTransactions()) {
+      return refusalText(HELD);
+    }
+    boolean startsNow =
+        connections.idle(organisation) > 0
+            && rateLimiter.wouldStart(priority, clocks.steadyNanos());
+    if (startsNow || permitNeeded(priority)) {
+      return null;
+    }
+    double wait = estimatedNanos(priority, organisation) - meanUseNanos();
+    return wait > maxWaitNanos ? refusalText(overloaded(wait)) : null;
+  }
+
+  /** Returns whether a request of a rank needs a permit of the database's broker now. */
+  boolean permitNeeded(int priority) {
+    return admission.permitNeeded(priority);
   }
 
   /** Returns how long ago the database last answered, in milliseconds; -1 if never. */
@@ -216,7 +222,7 @@
    */
   public void acquire(ConnectionRequest request) {
     if (!reachable()) {
-      refuse(request, ConnectionPoolCounts.Refusal.UNREACHABLE, "unreachable");
+      refuse(request, ConnectionPoolCounts.Refusal.UNREACHABLE, UNREACHABLE);
       return;
     }
     if (request.priority() >= 0 && heldByPausedTransactions()) {
@@ -235,7 +241,7 @@
    */
   private void startPermitted(ConnectionRequest request) {
     if (!reachable()) {
-      refuse(request, ConnectionPoolCounts.Refusal.UNREACHABLE, "unreachable");
+      refuse(request, ConnectionPoolCounts.Refusal.UNREACHABLE, UNREACHABLE);
     } else if (!startNow(request)) {
       if (request instanceof PermittedRequest withPermit) {
         queuedWithPermit.put(withPermit.request(), withPermit);
@@ -262,12 +268,9 @@
   }
 
   private void enqueue(ConnectionRequest request) {
-    double wait = expectedNanos(request.priority(), request.organisation()) - meanUseNanos;
+    double wait = expectedNanos(request.priority(), request.organisation()) - meanUseNanos();
     if (!(request instanceof PermittedRequest) && wait > request.maxWaitNanos()) {
-      refuse(
-          request,
-          ConnectionPoolCounts.Refusal.OVERLOADED,
-          "overloaded; retry in " + Math.round(wait / NANOS_PER_MILLI) + " ms");
+      refuse(request, ConnectionPoolCounts.Refusal.OVERLOADED, overloaded(wait));
       return;
     }
     queue.add(request);
@@ -278,7 +281,15 @@
   private void refuse(ConnectionRequest request, ConnectionPoolCounts.Refusal cause, String state) {
     forgetQueuedPermit(request);
     counts.countRefusal(cause);
-    request.refused(AnswerCode.BUSY, "database " + entry.id() + " is " + state);
+    request.refused(AnswerCode.BUSY, refusalText(state));
+  }
+
+  private String refusalText(String state) {
+    return "database " + entry.id() + " is " + state;
+  }
+
+  private static String overloaded(double waitNanos) {
+    return "overloaded; retry in " + Math.round(waitNanos / NANOS_PER_MILLI) + " ms";
   }
 
   private boolean grant(ConnectionRequest request) {
@@ -328,7 +339,7 @@
     }
     connection.releasePermit();
     long now = clocks.steadyNanos();
-    meanUseNanos += SMOOTHING * (now - sinceNanos - meanUseNanos);
+    expected.recordUse(now - sinceNanos);
     connection.markUsed(now);
     if (connections.size() > share) {
       discard(connection);
--- a/core/src/main/java/org/pollenspar/core/connection/ReadOutliers.java
+++ b/core/src/main/java/org/pollenspar/core/connection/ReadOutliers.java
@@ -154,9 +154,17 @@
     return health != null && health.ejected;
   }
 
+  /** Returns those of some databases that aren't ejected; all of them if each is ejected. */
+  List<ConnectionPool> notEjected(List<ConnectionPool> usable) {
+    List<ConnectionPool> inService =
+        usable.stream().filter(each -> !ejected(each.entry().id())).toList();
+    return inService.isEmpty() ? usable : inService;
+  }
+
   /**
-   * Returns those of the databases that may answer a read which aren't ejected; all of them if each
-   * is ejected.
+   * Returns those of the databases that may answer a read which the next read may use: not those
+   * that are ejected, and in a slow start only for a share of the reads. All of them if there are
+   * no others.
    *
    * @param all pools of the whole group
    */
--- a/core/src/main/java/org/pollenspar/core/connection/SingleStatement.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SingleStatement.java
@@ -28,7 +28,7 @@
  * acknowledged the revocation of the primary; after that the write is in doubt.
  */
 final class SingleStatement implements StatementExecutor.StatementExecution, ConnectionRequest {
-  private static final int MAX_ATTEMPTS = 4;
+  static final int MAX_ATTEMPTS = 4;
 
   /** Interval in which an attempt beyond its limit is checked again if it may not be ended yet. */
   private static final long ATTEMPT_CHECK_MS = 20;
@@ -117,7 +117,11 @@
   }
 
   private String unavailable() {
-    return "no database of group " + router.group() + " can run this now; retry in 300 ms";
+    return unavailable(router.group());
+  }
+
+  static String unavailable(String group) {
+    return "no database of group " + group + " can run this now; retry in 300 ms";
   }
 
   @Override
