--- a/core/src/test/java/org/pollenspar/core/connection/GroupExplanationTest.java
+++ b/core/src/test/java/org/pollenspar/core/connection/GroupExplanationTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.pollenspar.core.process.ClockReading;
 import org.pollenspar.core.process.FakeTime;
 import org.pollenspar.core.process.FleetMessages;
 import org.pollenspar.core.process.Member;
@@ -224,19 +225,22 @@
                 SlotPermits.NONE,
                 fixture.time,
                 fixture.time,
-                new RegionalReads(regions, "d", 7));
+                new RegionalReads(regions, "d", 7),
+                (event, subject, detail) -> {});
         router.databases(
             List.of(
                 SessionFixture.entry("p", "b", true),
                 SessionFixture.entry("r1", "a", false),
                 SessionFixture.entry("r2", "c", false)));
+        Route route =
+            new Route("old", "old", SessionFixture.GROUP, RouteKind.BOUNDED, 1_500, 1_000, 800, 2);
         router.observe(
             router.pool("p"),
-            0,
+            route,
             new Answer(AnswerCode.OK, List.of(), "-", TransactionState.IDLE, new Position(1, 100)),
-            fixture.time.steadyNanos() - 60_000_000);
-        Route route =
-            new Route("old", "old", SessionFixture.GROUP, RouteKind.BOUNDED, 1_500, 1_000, 800, 2);
+            new ClockReading(
+                fixture.time.steadyNanos() - 60_000_000, fixture.time.wallMillis() - 60),
+            true);
         List<String> drawn = new ArrayList<>();
         for (int i = 0; i < 200; i++) {
           if (asking) {
