core: explanations during a change of the primary

GroupExplanationTest.withTheRefusal expected that a read on a read_your_writes route is refused while the primary is replaced. Replicas answer it now within its staleness bound, so the case uses the route that only the primary serves, and a new test checks that the explanation names the replica that answers.

--- a/core/src/test/java/org/pollenspar/core/connection/GroupExplanationTest.java
+++ b/core/src/test/java/org/pollenspar/core/connection/GroupExplanationTest.java
@@ -109,8 +109,18 @@
       assertEquals(received.get(received.size() - 1).database(), chosen);
     }
 
+    @Test
+    void withTheReplicaThatAnswersWhileThePrimaryIsReplaced() {
+      SessionFixture fixture = fixture();
+      fixture.authority.revoke(SessionFixture.GROUP, 20);
+      String chosen = ask(fixture, "own", false).chosen();
+      assertEquals(AnswerCode.OK, fixture.caller("own").read("x").code());
+      List<ScriptedDatabases.ReceivedCommand> received = fixture.databases.received;
+      assertEquals(received.get(received.size() - 1).database(), chosen);
+    }
+
     @ParameterizedTest
-    @CsvSource({"unreachable, till, true", "overloaded, till, false", "replaced, own, false"})
+    @CsvSource({"unreachable, till, true", "overloaded, till, false", "replaced, till, false"})
     void withTheRefusal(String state, String route, boolean writes) {
       SessionFixture fixture = fixture();
       switch (state) {
