core: trials of avoided databases send status queries only

Change: OutlierTrial sends three status queries. They show that the database answers, not that its reads succeed, so what was the job of the trial's reads is that of the slow start: a tenth of the reads, and two failures eject the database again, for longer.

--- a/core/src/main/java/org/pollenspar/core/connection/ReadOutliers.java
+++ b/core/src/main/java/org/pollenspar/core/connection/ReadOutliers.java
@@ -11,7 +11,6 @@
 import org.pollenspar.core.process.Timers;
 import org.pollenspar.core.request.Answer;
 import org.pollenspar.core.request.AnswerCode;
-import org.pollenspar.core.request.SessionStatement;
 
 /**
  * Decides which databases of a group the reads of this host avoid, by the results of reads alone.
@@ -42,8 +41,8 @@
  * the last one that is in service. If only ejected ones can answer a read, they are used. Writes,
  * and reads that only the primary may answer, aren't asked about.
  *
- * <p><b>Return.</b> When its time is over, {@link OutlierTrial} sends statements of this host. If
- * it fails, the database is ejected again, for longer. If not, reads return to it over {@link
+ * <p><b>Return.</b> When its time is over, {@link OutlierTrial} sends status queries. If it fails,
+ * the database is ejected again, for longer. If not, reads return to it over {@link
  * #SLOW_START_MS}, and {@link #MIN_SLOW_START_FAILURES} failures eject it again.
  *
  * <p>All methods run on one thread.
@@ -97,7 +96,6 @@
     final ReadResults results = new ReadResults();
     final ReadResults outages = new ReadResults();
     boolean ejected;
-    boolean failsReads;
     int failedTrials;
     long ejectedNanos;
     boolean slowStart;
@@ -117,9 +115,6 @@
   private final Map<String, Health> healthByDatabase = new HashMap<>();
   private long ejections;
 
-  /** A read that succeeded, which trials send; null if none was seen during an ejection. */
-  private SessionStatement.@Nullable Read example;
-
   /**
    * Creates the decisions of one group, with all databases in use.
    *
@@ -205,13 +200,6 @@
     };
   }
 
-  /** Keeps a read that succeeded for trials, if a database is ejected and none is kept yet. */
-  void succeeded(SessionStatement statement) {
-    if (example == null && ejectedNow() > 0 && statement instanceof SessionStatement.Read read) {
-      example = read;
-    }
-  }
-
   /** Records the result of a read, or of a command that prepared its connection. */
   void record(ConnectionPool pool, Answer answer, Collection<ConnectionPool> all) {
     boolean failed = failed(answer.code());
@@ -229,7 +217,6 @@
     }
     health.results.add(failed, now);
     if (failed && !health.ejected && failsMore(pool, health, all, now)) {
-      health.failsReads = true;
       eject(pool, health, all, now);
     }
   }
@@ -282,7 +269,6 @@
                         && other.reachable()
                         && 3 * health(other).outages.failures(now) <= health.outages.failures(now));
     if (!health.ejected && others && health.outages.failures(now) >= MIN_OUTAGES) {
-      health.failsReads = false;
       eject(pool, health, all, now);
     }
   }
@@ -333,12 +319,7 @@
   private void tryAfter(long millis, ConnectionPool pool, Health health) {
     health.lastEjectionMillis = millis;
     OutlierTrial trial =
-        new OutlierTrial(
-            pool,
-            () -> health.failsReads ? example : null,
-            clocks,
-            timers,
-            good -> trialEnded(good, pool, health));
+        new OutlierTrial(pool, clocks, timers, good -> trialEnded(good, pool, health));
     timers.after(millis, trial::start);
   }
 
@@ -358,9 +339,6 @@
     health.returnCredit = 0;
     health.results.clear();
     health.outages.clear();
-    if (ejectedNow() == 0) {
-      example = null;
-    }
     events.changed(
         "database_restored",
         pool.entry().id(),
--- a/core/src/main/java/org/pollenspar/core/connection/SingleStatement.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SingleStatement.java
@@ -210,7 +210,6 @@
   private void readSucceeded() {
     Answer error = Answer.error(AnswerCode.FAILED, "", TransactionState.IDLE);
     failedAt.forEach(pool -> router.recordFailedRead(pool, error, true));
-    router.outliers().succeeded(request.statement());
   }
 
   /**
