edge: a SIGHUP while a process starts no longer ends it

Seen: the platform sends SIGHUP when a settings file changes.

Cause: the handlers were set after the settings were read and the event loop, the store's client and all parts of the node were created. Until then the virtual machine's own handler is in force, which ends the process.

Launcher reports and ignores SIGHUP from its first statement.

--- a/net/src/main/java/org/pollenspar/net/process/Launcher.java
+++ b/net/src/main/java/org/pollenspar/net/process/Launcher.java
@@ -13,6 +13,7 @@
 import org.pollenspar.core.process.ErrorKind;
 import org.pollenspar.core.process.PollensparError;
 import org.pollenspar.core.process.PollensparException;
+import sun.misc.Signal;
 
 /**
  * Starts a program: parses its options, checks its settings, sets up the log, runs it and returns
@@ -61,6 +62,8 @@
 
   /** Runs the program and returns its exit code. */
   public int run(String[] args, ProgramMain main) {
+    // Without a handler the signal ends the program, so this precedes all that takes time.
+    Signal.handle(new Signal("HUP"), signal -> reportIgnoredHangup());
     Options options = new Options();
     JCommander commander =
         JCommander.newBuilder().programName(program.command()).addObject(options).build();
@@ -82,6 +85,11 @@
     return settings.fold(this::usage, checked -> start(checked, main));
   }
 
+  private void reportIgnoredHangup() {
+    err.println(
+        program.command() + ": SIGHUP ignored; restart the program to apply changed settings");
+  }
+
   private int start(ProcessSettings settings, ProgramMain main) {
     LogOutput.configure(settings.text(Setting.LOG_FORMAT), settings.text(Setting.ID));
     try {
