core: the failover lease in a class of its own

No change of behaviour: the tests of the coordinator, of changes, late calls and the fleet model pass (111 tests).

--- a/core/src/main/java/org/pollenspar/core/process/FailoverCoordinator.java
+++ b/core/src/main/java/org/pollenspar/core/process/FailoverCoordinator.java
@@ -9,14 +9,8 @@
 import org.pollenspar.core.process.CoordinationStore.Put;
 
 /**
- * Acquires and renews the failover lease; while this host holds it, watches the primaries of all
- * groups and replaces failed ones.
- *
- * <p>The failover lease is a key in the store with a lease, so one host at a time holds it. The
- * fencing token, called fence, is the revision at which the key was written, so it grows with each
- * holder. Every write of a primary's record requires that the key still has that revision, so the
- * writes of an earlier holder fail, also if it was paused and does not know that its lease has
- * expired.
+ * Watches the primaries of all groups and replaces failed ones, while this host holds the {@link
+ * FailoverLease}.
  *
  * <p>A primary is replaced if it drains, if it stays unregistered, if it reports that it is a
  * replica, if another database leads a newer term, or if it fails repeated probes and no majority
@@ -26,8 +20,6 @@
  * <p>Not thread-safe: all calls come from the thread that runs the {@link Timers}.
  */
 public final class FailoverCoordinator {
-  private static final long LEASE_MS = 3_000;
-  private static final long RENEWAL_MS = 1_000;
   private static final long TICK_MS = 250;
 
   /** A primary is probed if its last answer to this host is older. */
@@ -54,16 +46,10 @@
   private final ControlContext context;
   private final PrimaryAuthority authority;
   private final ConfirmationRenewer renewer;
-  private final long takeoverDelayMillis;
+  private final FailoverLease lease;
   private final FailedMemberRemover memberRemover;
   private final ReplicaSetRecorder replicaSets;
   private final Map<String, GroupState> groups = new HashMap<>();
-  private boolean acquiring;
-  private boolean stopped;
-  private long lease;
-  private long fence;
-  private long leaseTakenNanos;
-  private ClockReading renewalSent;
 
   /**
    * Creates a coordinator that does not hold the failover lease.
@@ -98,15 +84,43 @@
             this::holdsLease);
     this.authority = authority;
     this.renewer = renewer;
-    this.takeoverDelayMillis = takeoverDelayMillis;
+    this.lease =
+        new FailoverLease(
+            store,
+            table,
+            timers,
+            clocks,
+            listener,
+            self,
+            renewer,
+            takeoverDelayMillis,
+            new LeaseOwner());
     this.memberRemover = new FailedMemberRemover(context);
     this.replicaSets = new ReplicaSetRecorder(context);
-    this.renewalSent = ClockReading.now(clocks);
+  }
+
+  /** Begins and ends the work of the holder. */
+  private final class LeaseOwner implements FailoverLease.Owner {
+    @Override
+    public void taken() {
+      tick();
+    }
+
+    @Override
+    public void lost() {
+      for (GroupState state : groups.values()) {
+        if (state.change != null) {
+          state.change.end(false, "the failover lease was lost");
+        }
+      }
+      groups.clear();
+      replicaSets.leaseLost();
+    }
   }
 
   /** Returns false as soon as either clock shows that the failover lease may have expired. */
   public boolean holdsLease() {
-    return lease != 0 && renewalSent.ageMillis(context.clocks()) < LEASE_MS;
+    return lease.holds();
   }
 
   /** Returns whether this host has a change of any primary in progress. */
@@ -119,113 +133,16 @@
    * the key of the lease changed.
    */
   public void acquireLeaseIfFree() {
-    if (!acquiring && !stopped && lease == 0 && leaseFree()) {
-      acquiring = true;
-      context.timers().after(takeoverDelayMillis, this::acquireLease);
-    }
-  }
-
-  private boolean leaseFree() {
-    return context.table().revision(ControlKeys.FAILOVER_LEASE) == 0;
-  }
-
-  private void acquireLease() {
-    if (!leaseFree() || stopped || !renewer.loaded()) {
-      acquiring = false;
-      return;
-    }
-    renewalSent = ClockReading.now(context.clocks());
-    context
-        .store()
-        .grantLease(
-            LEASE_MS,
-            granted -> {
-              if (!granted.done()) {
-                retryAcquireLease();
-                return;
-              }
-              writeLeaseKey(granted.lease());
-            });
-  }
-
-  private void writeLeaseKey(long granted) {
-    context
-        .store()
-        .transact(
-            List.of(new Expectation(ControlKeys.FAILOVER_LEASE, 0)),
-            List.of(new Put(ControlKeys.FAILOVER_LEASE, context.holder(), granted)),
-            List.of(),
-            reply -> {
-              if (!reply.done()) {
-                context.store().endLease(granted, ignored -> {});
-                retryAcquireLease();
-                return;
-              }
-              acquiring = false;
-              lease = granted;
-              fence = reply.revision();
-              leaseTakenNanos = now();
-              context.listener().changed("duty_taken", context.holder(), "fence " + fence);
-              scheduleRenewal();
-              tick();
-            });
-  }
-
-  private void retryAcquireLease() {
-    acquiring = false;
-    context.timers().after(LEASE_MS / 2, this::acquireLeaseIfFree);
-  }
-
-  private void scheduleRenewal() {
-    context.timers().after(RENEWAL_MS, this::renew);
-  }
-
-  private void renew() {
-    if (lease == 0) {
-      return;
-    }
-    ClockReading sent = ClockReading.now(context.clocks());
-    context
-        .store()
-        .renewLease(
-            lease,
-            reply -> {
-              if (reply.done()) {
-                renewalSent = sent;
-              }
-              if (reply.status() == CoordinationStore.Status.NOT_FOUND) {
-                leaseLost("the store no longer has the lease");
-              } else if (lease != 0) {
-                scheduleRenewal();
-              }
-            });
-  }
-
-  private void leaseLost(String reason) {
-    lease = 0;
-    context.listener().changed("duty_lost", context.holder(), reason);
-    for (GroupState state : groups.values()) {
-      if (state.change != null) {
-        state.change.end(false, "the failover lease was lost");
-      }
-    }
-    groups.clear();
-    replicaSets.leaseLost();
-    context.timers().after(LEASE_MS, this::acquireLeaseIfFree);
+    lease.acquireIfFree();
   }
 
   /** Releases the failover lease because the process stops. */
   public void stop() {
-    stopped = true;
-    if (lease != 0) {
-      long endedLease = lease;
-      leaseLost("the process is stopping");
-      context.store().endLease(endedLease, ignored -> {});
-    }
+    lease.stop();
   }
 
   private void tick() {
-    if (lease == 0) {
+    if (!lease.taken()) {
       return;
     }
     context.timers().after(TICK_MS, this::tick);
@@ -240,7 +157,7 @@
 
   /** Checks a group at once because the registrations of its databases have changed. */
   public void databasesChanged(String group) {
-    if (lease != 0 && holdsLease()) {
+    if (holdsLease()) {
       checkUnlessChanging(group);
     }
   }
@@ -253,7 +170,7 @@
   }
 
   private PromotionCalls newCalls() {
-    return new PromotionCalls(context.clocks(), leaseTakenNanos);
+    return new PromotionCalls(context.clocks(), lease.takenNanos());
   }
 
   private long now() {
@@ -270,7 +187,7 @@
       replace(record, state, "an earlier change did not finish", false);
       return;
     }
-    replicaSets.check(record, fence);
+    replicaSets.check(record, lease.fence());
     DatabaseControl.@Nullable Candidate primary = null;
     for (DatabaseControl.Candidate candidate : context.databases().candidates(group)) {
       if (candidate.id().equals(record.database())) {
@@ -362,12 +279,14 @@
   }
 
   private void writeFirstRecord(String group, String database, long term) {
-    PrimaryRecord record = PrimaryRecord.leading(group, database, term, fence, 0);
+    PrimaryRecord record = PrimaryRecord.leading(group, database, term, lease.fence(), 0);
     String key = ControlKeys.primary(group);
     context
         .store()
         .transact(
-            List.of(new Expectation(key, 0), new Expectation(ControlKeys.FAILOVER_LEASE, fence)),
+            List.of(
+                new Expectation(key, 0),
+                new Expectation(ControlKeys.FAILOVER_LEASE, lease.fence())),
             List.of(new Put(key, ControlKeys.encode(record), 0)),
             List.of(),
             reply -> {
@@ -464,7 +383,7 @@
   private void replace(
       PrimaryRecord record, GroupState state, String reason, boolean keepIfRecovered) {
     boolean current = groups.get(record.group()) == state;
-    if (lease == 0 || !holdsLease() || !current || state.change != null) {
+    if (!holdsLease() || !current || state.change != null) {
       return;
     }
     state.failedProbes = 0;
@@ -474,7 +393,7 @@
         new PrimaryChange(
             context,
             record,
-            fence,
+            lease.fence(),
             keepIfRecovered,
             state.calls,
             success -> {
