core: a host that stops keeps the failover lease while its promotion call is under way

A primary drains; the holder of the lease calls, the call is held up for 1 s, and the holder gets SIGTERM. The next holder has called 0.4 s later.

Cause: FailoverCoordinator.stop ended the lease at once. Cancelling a change ignores the answer of its call, but the call goes on until it is answered or its connection is reset after 1.2 s.

Change: CountedPromotions counts the calls under way, whoever still waits for them. A host that stops begins no change and makes no further call. It keeps the lease until no call is under way, and finishes changes that have called, for up to 2 s; the next holder would have to begin them again. It isn't drained before. Why this is enough: a call ends within its time limit, after which its connection is reset, and only the end of the lease lets another host call.

--- a/core/src/main/java/org/pollenspar/core/process/DatabasePromotion.java
+++ b/core/src/main/java/org/pollenspar/core/process/DatabasePromotion.java
@@ -76,7 +76,7 @@
   /** Makes the first call. */
   void start() {
     if (!context.failoverLeaseHeld().getAsBoolean()) {
-      failed.accept("the failover lease may have expired");
+      failed.accept("the failover lease may have expired, or the process is stopping");
       return;
     }
     int number = calls.sent(database, newestTerm);
--- a/core/src/main/java/org/pollenspar/core/process/FailoverCoordinator.java
+++ b/core/src/main/java/org/pollenspar/core/process/FailoverCoordinator.java
@@ -17,6 +17,11 @@
  * of the other members reaches it. The question to the members keeps a holder whose own network
  * fails from replacing a healthy primary.
  *
+ * <p>Invariant: no promotion call is under way when this host releases the lease. Otherwise the
+ * call could reach the platform after one of the next holder, which has a later fence. So a host
+ * that stops keeps the lease while a call is under way, and finishes the change that made it, which
+ * the next holder would have to begin again.
+ *
  * <p>Not thread-safe: all calls come from the thread that runs the {@link Timers}.
  */
 public final class FailoverCoordinator {
@@ -40,6 +45,11 @@
   /** Pause before a database that claims to be the primary is asked again. */
   private static final long CLAIM_PAUSE_MS = 1_000;
 
+  /** How long a host that stops finishes changes whose database it has called for. */
+  private static final long FINISH_LIMIT_MS = 2_000;
+
+  private static final long FINISH_POLL_MS = 50;
+
   /** Pause before the next change of a group after one that failed. */
   private static final long FAILED_CHANGE_PAUSE_MS = 500;
 
@@ -47,9 +57,12 @@
   private final PrimaryAuthority authority;
   private final ConfirmationRenewer renewer;
   private final FailoverLease lease;
+  private final CountedPromotions promotions;
   private final FailedMemberRemover memberRemover;
   private final ReplicaSetRecorder replicaSets;
   private final Map<String, GroupState> groups = new HashMap<>();
+  private boolean stopped;
+  private long stoppedNanos;
 
   /**
    * Creates a coordinator that does not hold the failover lease.
@@ -70,18 +83,19 @@
       PrimaryAuthority authority,
       ConfirmationRenewer renewer,
       long takeoverDelayMillis) {
+    this.promotions = new CountedPromotions(promotions);
     this.context =
         new ControlContext(
             store,
             table,
             databases,
             messages,
-            promotions,
+            this.promotions,
             timers,
             clocks,
             listener,
             self,
-            this::holdsLease);
+            this::mayCall);
     this.authority = authority;
     this.renewer = renewer;
     this.lease =
@@ -123,6 +137,14 @@
     return lease.holds();
   }
 
+  /**
+   * Returns whether this host may begin changes and call for databases. A host that stops may not,
+   * since it would have to wait for the calls.
+   */
+  private boolean mayCall() {
+    return !stopped && holdsLease();
+  }
+
   /** Returns whether this host has a change of any primary in progress. */
   public boolean changeInProgress() {
     return groups.values().stream().anyMatch(state -> state.change != null);
@@ -136,13 +158,41 @@
     lease.acquireIfFree();
   }
 
-  /** Releases the failover lease because the process stops. */
+  /**
+   * Releases the failover lease because the process stops: at once, or when the changes that have
+   * called for a database are finished.
+   */
   public void stop() {
+    if (stopped) {
+      return;
+    }
+    stopped = true;
+    stoppedNanos = now();
     lease.stop();
+    for (GroupState state : groups.values()) {
+      if (state.change != null && !state.change.promoting()) {
+        state.change.end(false, "the process is stopping");
+      }
+    }
+    releaseWhenFinished();
+  }
+
+  private void releaseWhenFinished() {
+    boolean inTime = now() - stoppedNanos < FINISH_LIMIT_MS * 1_000_000;
+    if (lease.taken() && (promotions.underWay() > 0 || (inTime && changeInProgress()))) {
+      context.timers().after(FINISH_POLL_MS, this::releaseWhenFinished);
+    } else {
+      lease.release();
+    }
+  }
+
+  /** Returns whether this host has released the failover lease, or didn't hold it. */
+  public boolean released() {
+    return !lease.taken();
   }
 
   private void tick() {
-    if (!lease.taken()) {
+    if (!lease.taken() || stopped) {
       return;
     }
     context.timers().after(TICK_MS, this::tick);
@@ -157,7 +207,7 @@
 
   /** Checks a group at once because the registrations of its databases have changed. */
   public void databasesChanged(String group) {
-    if (holdsLease()) {
+    if (mayCall()) {
       checkUnlessChanging(group);
     }
   }
@@ -383,7 +433,7 @@
   private void replace(
       PrimaryRecord record, GroupState state, String reason, boolean keepIfRecovered) {
     boolean current = groups.get(record.group()) == state;
-    if (!holdsLease() || !current || state.change != null) {
+    if (!mayCall() || !current || state.change != null) {
       return;
     }
     state.failedProbes = 0;
--- a/core/src/main/java/org/pollenspar/core/process/FailoverLease.java
+++ b/core/src/main/java/org/pollenspar/core/process/FailoverLease.java
@@ -176,9 +176,13 @@
     timers.after(LEASE_MS, this::acquireIfFree);
   }
 
-  /** Leaves the lease to other hosts from now on, because the process stops. */
+  /** Doesn't acquire the lease any more, because the process stops. */
   void stop() {
     stopped = true;
+  }
+
+  /** Leaves the lease to other hosts; {@link #stop} must have been called. */
+  void release() {
     if (lease != 0) {
       long endedLease = lease;
       lost("the process is stopping");
--- a/core/src/main/java/org/pollenspar/core/process/PrimaryChange.java
+++ b/core/src/main/java/org/pollenspar/core/process/PrimaryChange.java
@@ -441,6 +441,11 @@
     promotion.start();
   }
 
+  /** Returns whether this change has called for a database. */
+  boolean promoting() {
+    return promotion != null;
+  }
+
   private void promotionEnded(DatabasePromotion.Result result) {
     calledFor = result == DatabasePromotion.Result.NOT_RUNNING ? "" : candidate;
     long now = context.clocks().steadyNanos();
--- a/core/src/test/java/org/pollenspar/core/process/FailoverCoordinatorTest.java
+++ b/core/src/test/java/org/pollenspar/core/process/FailoverCoordinatorTest.java
@@ -1,5 +1,6 @@
 package org.pollenspar.core.process;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -12,6 +13,7 @@
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.pollenspar.core.connection.Position;
 
@@ -29,12 +31,14 @@
   private final FleetTable table = new FleetTable(authority, time);
   private final Databases databases = new Databases();
   private final List<String> events = new ArrayList<>();
+  private final List<Consumer<PromotionService.Outcome>> calls = new ArrayList<>();
   private FailoverCoordinator coordinator;
 
   /** A recorded primary "p" of term 1 that answers all along, and a replica "r". */
   private static final class Databases implements DatabaseControl {
     final Map<String, DatabaseStatus> answers = new TreeMap<>();
     boolean replicaClaims;
+    boolean primaryDrains;
 
     @Override
     public Collection<String> groups() {
@@ -44,7 +48,7 @@
     @Override
     public Collection<Candidate> candidates(String group) {
       return List.of(
-          new Candidate("p", "10.0.0.1:1", false, true, 0),
+          new Candidate("p", "10.0.0.1:1", primaryDrains, true, 0),
           new Candidate("r", "10.0.0.2:1", false, replicaClaims, 0));
     }
 
@@ -129,8 +133,7 @@
             table,
             databases,
             messages,
-            (group, database, holder, fence, allowed, done) ->
-                done.accept(PromotionService.Outcome.NOT_EXECUTED),
+            (group, database, holder, fence, allowed, done) -> calls.add(done),
             time,
             time,
             (event, subject, detail) -> events.add(event + " " + detail),
@@ -178,4 +181,67 @@
     }
     assertFalse(changeStarted(), events.toString());
   }
+
+  /**
+   * Guards against a call that reaches the platform after one of the next holder, since this host
+   * has ended the failover lease while its call was under way.
+   */
+  @Nested
+  class Stop {
+    private static final int CALL_MS = 1_100;
+
+    private boolean leaseInStore() {
+      boolean[] found = {false};
+      connection.range(ControlKeys.FAILOVER_LEASE, reply -> found[0] = !reply.items().isEmpty());
+      time.advance(20);
+      return found[0];
+    }
+
+    private void stopDuringCall() {
+      databases.primaryDrains = true;
+      coordinator.databasesChanged(GROUP);
+      time.advance(500);
+      assertEquals(1, calls.size(), events.toString());
+      coordinator.stop();
+      time.advance(CALL_MS);
+      assertTrue(leaseInStore(), events.toString());
+      assertFalse(coordinator.released());
+    }
+
+    @Test
+    void changeIsFinishedBeforeTheLeaseIsReleased() {
+      stopDuringCall();
+      databases.answers.put("r", status(true, 2));
+      calls.get(0).accept(PromotionService.Outcome.ACCEPTED);
+      time.advance(200);
+      assertTrue(events.toString().contains("r leads term 2"), events.toString());
+      assertFalse(leaseInStore());
+      assertTrue(coordinator.released());
+    }
+
+    @Test
+    void noFurtherCallIsMade() {
+      stopDuringCall();
+      calls.get(0).accept(PromotionService.Outcome.NOT_EXECUTED);
+      time.advance(200);
+      assertEquals(1, calls.size());
+      assertFalse(leaseInStore());
+    }
+
+    @Test
+    void aDatabaseThatDoesNotLeadInTimeIsLeftToTheNextHolder() {
+      stopDuringCall();
+      calls.get(0).accept(PromotionService.Outcome.ACCEPTED);
+      time.advance(1_000);
+      assertFalse(leaseInStore());
+    }
+
+    @Test
+    void theLeaseIsReleasedAtOnceWithoutACall() {
+      coordinator.stop();
+      time.advance(20);
+      assertFalse(leaseInStore());
+      assertTrue(coordinator.released());
+    }
+  }
 }
--- a/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/EdgeNode.java
@@ -464,9 +464,14 @@
     forwardedWork.forEach(ForwardedWork::refuseNewWork);
   }
 
-  /** Returns whether no session is open and no statement of another host is in progress. */
+  /**
+   * Returns whether no session is open, no statement of another host is in progress, and the
+   * failover lease is released.
+   */
   public boolean drained() {
-    return sessions.isEmpty() && forwardedWork.stream().allMatch(ForwardedWork::idle);
+    return sessions.isEmpty()
+        && forwardedWork.stream().allMatch(ForwardedWork::idle)
+        && failoverCoordinator.released();
   }
 
   /** Removes this host from the members; its confirmation no longer holds from now on. */
