core: no promotion call is sent that may outlive the failover lease

A holder whose renewals fail called until its lease of 3 s had expired. Such a call is under way for up to 1.2 s more, while the next holder calls with a later fence.

Cause: the check before a call asked whether the lease holds now, not whether it holds until the call has ended.

Beginning a change is still allowed for the whole lease.

--- a/core/src/main/java/org/pollenspar/core/process/FailoverCoordinator.java
+++ b/core/src/main/java/org/pollenspar/core/process/FailoverCoordinator.java
@@ -17,10 +17,11 @@
  * of the other members reaches it. The question to the members keeps a holder whose own network
  * fails from replacing a healthy primary.
  *
- * <p>Invariant: no promotion call is under way when this host releases the lease. Otherwise the
- * call could reach the platform after one of the next holder, which has a later fence. So a host
- * that stops keeps the lease while a call is under way, and finishes the change that made it, which
- * the next holder would have to begin again.
+ * <p>Invariant: no promotion call is under way when the lease is released or expires. Otherwise the
+ * call could reach the platform after one of the next holder, which has a later fence. So no call
+ * is sent that may take longer than the lease lasts. And a host that stops keeps the lease while a
+ * call is under way, and finishes the change that made it, which the next holder would have to
+ * begin again.
  *
  * <p>Not thread-safe: all calls come from the thread that runs the {@link Timers}.
  */
@@ -137,14 +138,16 @@
     return lease.holds();
   }
 
-  /**
-   * Returns whether this host may begin changes and call for databases. A host that stops may not,
-   * since it would have to wait for the calls.
-   */
-  private boolean mayCall() {
+  /** A host that stops begins no change, since it would have to wait for its calls. */
+  private boolean mayBeginChange() {
     return !stopped && holdsLease();
   }
 
+  /** Returns whether a call that is sent now ends before another host can take the lease. */
+  private boolean mayCall() {
+    return !stopped && lease.holdsFor(PromotionService.CALL_LIMIT_MS);
+  }
+
   /** Returns whether this host has a change of any primary in progress. */
   public boolean changeInProgress() {
     return groups.values().stream().anyMatch(state -> state.change != null);
@@ -207,7 +210,7 @@
 
   /** Checks a group at once because the registrations of its databases have changed. */
   public void databasesChanged(String group) {
-    if (mayCall()) {
+    if (mayBeginChange()) {
       checkUnlessChanging(group);
     }
   }
@@ -433,7 +436,7 @@
   private void replace(
       PrimaryRecord record, GroupState state, String reason, boolean keepIfRecovered) {
     boolean current = groups.get(record.group()) == state;
-    if (!mayCall() || !current || state.change != null) {
+    if (!mayBeginChange() || !current || state.change != null) {
       return;
     }
     state.failedProbes = 0;
--- a/core/src/main/java/org/pollenspar/core/process/FailoverLease.java
+++ b/core/src/main/java/org/pollenspar/core/process/FailoverLease.java
@@ -79,7 +79,12 @@
 
   /** Returns false as soon as either clock shows that the lease may have expired. */
   boolean holds() {
-    return lease != 0 && renewalSent.ageMillis(clocks) < LEASE_MS;
+    return holdsFor(0);
+  }
+
+  /** Returns whether this host holds the lease for a further time, also if no renewal succeeds. */
+  boolean holdsFor(long millis) {
+    return lease != 0 && renewalSent.ageMillis(clocks) + millis < LEASE_MS;
   }
 
   long fence() {
--- a/core/src/main/java/org/pollenspar/core/process/PromotionService.java
+++ b/core/src/main/java/org/pollenspar/core/process/PromotionService.java
@@ -5,6 +5,9 @@
 
 /** The platform's call that makes a replica the primary. */
 public interface PromotionService {
+  /** Time after its sending at which a call has ended; its connection is reset then. */
+  int CALL_LIMIT_MS = 1_200;
+
   /** How a call ended. */
   enum Outcome {
     /** The database is the primary or will be soon. */
