core: values that a failed transaction has undone are restored

Cause: the database ends such a transaction by itself and undoes what was set inside. SessionTransaction marked the state of the connection as uncertain only before a ROLLBACK of its own; with an answer whose state is idle it returned the connection at once. The same holds for an error of another statement, and NOSTMT inside a transaction left the name as known.

Change: what was restored inside a transaction counts only after a commit that the database acknowledged. After any other end the connection is reset before its next use. That is enough, since values change nowhere else than in restoreSession, and a connection whose answer is lost is closed.

--- a/core/src/main/java/org/pollenspar/core/connection/SessionTransaction.java
+++ b/core/src/main/java/org/pollenspar/core/connection/SessionTransaction.java
@@ -52,6 +52,7 @@
   private boolean wrote;
   private boolean abandoned;
   private boolean restoredInTransaction;
+  private boolean committed;
   private int openAttempts;
   private @Nullable RunningStatement current;
 
@@ -114,8 +115,9 @@
   }
 
   /**
-   * Releases the connection, after a rollback if a transaction is open on it. The rollback may undo
-   * session values and prepared statements that were restored inside the transaction.
+   * Releases the connection, after a rollback if a transaction is open on it. Session values and
+   * prepared statements that were restored inside the transaction are certain only after a commit
+   * that succeeded: a rollback may undo them, whether this host or the database began it.
    */
   private void release() {
     @Nullable PooledDatabaseConnection used = connection;
@@ -123,14 +125,14 @@
     if (used == null) {
       return;
     }
+    if (restoredInTransaction && !committed) {
+      used.markStateUncertain();
+    }
     if (!begun || used.lost()) {
       used.pool().release(used, grantedNanos);
       return;
     }
     begun = false;
-    if (restoredInTransaction) {
-      used.markStateUncertain();
-    }
     long since = grantedNanos;
     Timers.Timer guard = context.timers().after(route.statementTimeoutMillis(), used::close);
     used.run(
@@ -383,6 +385,9 @@
         abort(cause + "; the transaction is rolled back");
       } else {
         failed = answer.state() != TransactionState.OPEN;
+        if (answer.code() == AnswerCode.NO_SUCH_STATEMENT) {
+          heldConnection.markStateUncertain();
+        }
         if (failed && answer.state() == TransactionState.IDLE) {
           begun = false;
         }
@@ -402,6 +407,7 @@
     private void completedCommit(PooledDatabaseConnection heldConnection, Answer answer) {
       failed = true;
       begun = answer.state() != TransactionState.IDLE;
+      committed = answer.ok() && !begun;
       boolean outcomeUnknown =
           answer.code() == AnswerCode.LOST
               || (answer.ok()
