core: a database that started again is not one that has reported what it held

Cause: databases were known by their ids, so the answer of an empty database counted as the report of the one that had the log. The field born of a registration was not read.

Change: born is part of the registration, the recorded ReplicaSet and what a host remembers; a database that starts again is another incarnation, and the earlier one stays in the set until another database has received a later position of the primary. Groups without synchronous replication are as before.

In ReplicaSetRecorderTest the recorded names are sorted before the comparison, since the set's order is not its own.

--- a/core/src/main/java/org/pollenspar/core/connection/DatabaseEntry.java
+++ b/core/src/main/java/org/pollenspar/core/connection/DatabaseEntry.java
@@ -11,6 +11,8 @@
  * @param capacity number of statements that it runs at once
  * @param draining whether it is about to leave the fleet and takes no new work
  * @param primary whether it believes that it is the primary
+ * @param born when it was started, in milliseconds since 1970; 0 if unknown. A database that starts
+ *     again under its id holds nothing of before
  */
 public record DatabaseEntry(
     String id,
@@ -20,4 +22,20 @@
     String domain,
     int capacity,
     boolean draining,
-    boolean primary) {}
+    boolean primary,
+    long born) {
+  /** Returns whether an entry is that of the same database, started at the same time. */
+  public boolean sameIncarnation(DatabaseEntry other) {
+    return incarnation().equals(other.incarnation());
+  }
+
+  /** Returns a name that the database loses when it starts again under its id. */
+  public String incarnation() {
+    return incarnation(id, born);
+  }
+
+  /** Returns the name of a database from its start until it starts again. */
+  public static String incarnation(String id, long born) {
+    return born == 0 ? id : id + "@" + born;
+  }
+}
--- a/core/src/main/java/org/pollenspar/core/process/DatabaseControl.java
+++ b/core/src/main/java/org/pollenspar/core/process/DatabaseControl.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.pollenspar.core.connection.DatabaseEntry;
 import org.pollenspar.core.connection.Position;
 
 /** Access of the host that replaces primaries to the databases. */
@@ -22,9 +23,20 @@
    * @param address IP address and port
    * @param claimsPrimary whether its registration names it as the primary
    * @param answerAgeMillis time since it last answered this host; -1 if never
+   * @param born when it was started, in milliseconds since 1970; 0 if unknown
    */
   record Candidate(
-      String id, String address, boolean draining, boolean claimsPrimary, long answerAgeMillis) {}
+      String id,
+      String address,
+      boolean draining,
+      boolean claimsPrimary,
+      long answerAgeMillis,
+      long born) {
+    /** Returns a name that the database loses when it starts again under its id. */
+    String incarnation() {
+      return DatabaseEntry.incarnation(id, born);
+    }
+  }
 
   /** Returns the names of the groups in the configuration. */
   Collection<String> groups();
--- a/core/src/main/java/org/pollenspar/core/process/PrimaryChange.java
+++ b/core/src/main/java/org/pollenspar/core/process/PrimaryChange.java
@@ -54,6 +54,7 @@
   private final Map<String, DatabaseControl.DatabaseStatus> statuses = new HashMap<>();
   private final long startedNanos;
   private final PromotionCalls calls;
+  private final ReplicaReports reports;
   private final Set<String> eligible = new HashSet<>();
 
   /** Database that a call of this or of an interrupted change may promote; empty if none. */
@@ -99,6 +100,7 @@
     this.keepIfRecovered = keepIfRecovered && !old.changing();
     this.done = done;
     this.calls = calls;
+    this.reports = new ReplicaReports(context, old.group());
     this.startedNanos = context.clocks().steadyNanos();
   }
 
@@ -192,7 +194,7 @@
             old.database(),
             old.term() + 1,
             status -> {
-              @Nullable Position target = status == null ? null : status.received();
+              @Nullable Position target = reports.reported(status);
               collectStatuses(target, context.clocks().steadyNanos());
             });
   }
@@ -245,6 +247,7 @@
               status -> {
                 if (status != null) {
                   statuses.put(candidate.id(), status);
+                  reports.answered(candidate, status);
                 }
                 remaining[0]--;
                 if (remaining[0] == 0) {
@@ -278,19 +281,11 @@
     return context.databases().syncReplicas(group()) > 0;
   }
 
-  /**
-   * Returns the databases that have not answered although one of them may hold an acknowledged
-   * write that no other has. With synchronous replication, such a write may be on a single replica,
-   * even on one that drains or whose registration has lapsed. So unless the old primary reports its
-   * position, every replica must report its own.
-   */
+  /** Returns the databases that have not reported although they may hold acknowledged writes. */
   private List<String> awaitedReplicas(@Nullable Position target) {
-    if (!synchronous() || target != null) {
-      return List.of();
-    }
-    List<String> awaited = context.replicas(group()).idsExcept(old.database());
-    awaited.removeAll(statuses.keySet());
-    return awaited;
+    return synchronous() && target == null
+        ? reports.awaited(old.database(), statuses.keySet())
+        : List.of();
   }
 
   private void choose(@Nullable Position target, long sinceNanos) {
--- a/core/src/main/java/org/pollenspar/core/process/ReplicaSet.java
+++ b/core/src/main/java/org/pollenspar/core/process/ReplicaSet.java
@@ -3,14 +3,13 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import org.jspecify.annotations.Nullable;
+import org.pollenspar.core.connection.DatabaseEntry;
 
 /**
  * The databases of one group that may hold the only replica's copy of an acknowledged write, as the
@@ -20,11 +19,12 @@
  * seconds, but its log comes back with it. So a database stays in the set when its registration
  * lapses. It leaves when a new database takes over its address and its log after it has drained,
  * and when {@link ReplicaSetRecorder} has seen that the others have received everything that it may
- * hold. Immutable.
+ * hold. A database that starts again under its id holds nothing of before, so it is another one
+ * here, and its earlier incarnation stays in the set like a database that has lapsed. Immutable.
  *
- * @param replicas databases by id, the primary among them
- * @param removed ids that the last write of the record removed; hosts that saw one of them lapse
- *     need not remember it any longer
+ * @param replicas databases by incarnation, the primary among them
+ * @param removed incarnations that the last write of the record removed; hosts that saw one of them
+ *     lapse need not remember it any longer
  */
 record ReplicaSet(Map<String, Replica> replicas, Set<String> removed) {
   static final ReplicaSet EMPTY = new ReplicaSet(Map.of(), Set.of());
@@ -35,10 +35,16 @@
    * A database as it was last registered.
    *
    * @param address IP address and port; a database that drains hands it on with its log
+   * @param born when it was started, in milliseconds since 1970; 0 if unknown
    */
-  record Replica(String id, String address, boolean draining) {
+  record Replica(String id, String address, boolean draining, long born) {
     static Replica of(DatabaseControl.Candidate candidate) {
-      return new Replica(candidate.id(), candidate.address(), candidate.draining());
+      return new Replica(
+          candidate.id(), candidate.address(), candidate.draining(), candidate.born());
+    }
+
+    String incarnation() {
+      return DatabaseEntry.incarnation(id, born);
     }
   }
 
@@ -57,8 +63,13 @@
     try {
       StoredValue record = StoredValue.parse(value);
       for (StoredValue each : record.objects("databases")) {
-        String id = each.text("id");
-        replicas.put(id, new Replica(id, each.text("address"), each.flag("draining")));
+        Replica replica =
+            new Replica(
+                each.text("id"),
+                each.text("address"),
+                each.flag("draining"),
+                each.number("born", 0, Long.MAX_VALUE, 0));
+        replicas.put(replica.incarnation(), replica);
       }
       for (StoredValue each : record.objects("removed")) {
         removed.add(each.text("id"));
@@ -79,6 +90,9 @@
       if (each.draining()) {
         database.put("draining", true);
       }
+      if (each.born() != 0) {
+        database.put("born", each.born());
+      }
     }
     if (!removed.isEmpty()) {
       ArrayNode ids = node.putArray("removed");
@@ -97,39 +111,44 @@
       Collection<DatabaseControl.Candidate> lapsed,
       Collection<DatabaseControl.Candidate> registered) {
     Map<String, Replica> next = new TreeMap<>(replicas);
-    lapsed.forEach(each -> next.put(each.id(), Replica.of(each)));
-    registered.forEach(each -> next.put(each.id(), Replica.of(each)));
-    Set<String> ids = new TreeSet<>();
-    Set<String> addresses = new TreeSet<>();
-    for (DatabaseControl.Candidate each : registered) {
-      ids.add(each.id());
-      addresses.add(each.address());
-    }
+    lapsed.forEach(each -> next.put(each.incarnation(), Replica.of(each)));
+    registered.forEach(each -> next.put(each.incarnation(), Replica.of(each)));
     next.values()
         .removeIf(
             each ->
-                each.draining() && !ids.contains(each.id()) && addresses.contains(each.address()));
+                registered.stream()
+                    .anyMatch(other -> isSuccessor(other, each) || completes(other, each)));
     return new ReplicaSet(next, removed);
   }
 
-  /** Returns the set without these databases, as a record of their removal. */
-  ReplicaSet without(Set<String> ids) {
-    Map<String, Replica> next = new TreeMap<>(replicas);
-    next.keySet().removeAll(ids);
-    return new ReplicaSet(next, ids);
+  /** Returns whether a database has taken over the address and the log of one that has drained. */
+  private static boolean isSuccessor(DatabaseControl.Candidate database, Replica old) {
+    return old.draining()
+        && !database.id().equals(old.id())
+        && database.address().equals(old.address());
   }
 
-  /** Returns the ids that are not registered. */
-  Set<String> unregistered(Collection<DatabaseControl.Candidate> registered) {
-    Set<String> result = new TreeSet<>(replicas.keySet());
-    registered.forEach(each -> result.remove(each.id()));
-    return result;
+  /** Returns whether a registration tells the time of start that was unknown. */
+  private static boolean completes(DatabaseControl.Candidate database, Replica known) {
+    return known.born() == 0 && database.born() != 0 && database.id().equals(known.id());
   }
 
-  /** Returns the ids in order, without that of one database. */
-  List<String> idsExcept(String id) {
-    List<String> ids = new ArrayList<>(new TreeSet<>(replicas.keySet()));
-    ids.remove(id);
-    return ids;
+  /** Returns the set without these incarnations, as a record of their removal. */
+  ReplicaSet without(Set<String> incarnations) {
+    Map<String, Replica> next = new TreeMap<>(replicas);
+    next.keySet().removeAll(incarnations);
+    return new ReplicaSet(next, incarnations);
+  }
+
+  /** Returns the incarnations that are not registered, but for those of one database. */
+  Set<String> unregistered(Collection<DatabaseControl.Candidate> registered, String exceptId) {
+    Set<String> result = new TreeSet<>();
+    for (Replica each : replicas.values()) {
+      if (!each.id().equals(exceptId)) {
+        result.add(each.incarnation());
+      }
+    }
+    registered.forEach(each -> result.remove(each.incarnation()));
+    return result;
   }
 }
--- a/core/src/main/java/org/pollenspar/core/process/ReplicaSetRecorder.java
+++ b/core/src/main/java/org/pollenspar/core/process/ReplicaSetRecorder.java
@@ -66,8 +66,8 @@
     String group = primary.group();
     GroupRecord state = groups.computeIfAbsent(group, key -> new GroupRecord());
     ReplicaSet next = context.replicas(group);
-    Set<String> lapsed = next.unregistered(context.databases().candidates(group));
-    lapsed.remove(primary.database());
+    Set<String> lapsed =
+        next.unregistered(context.databases().candidates(group), primary.database());
     if (!lapsed.equals(state.lapsed)) {
       state.lapsed = Set.copyOf(lapsed);
       state.lapsedSinceNanos = now();
@@ -158,7 +158,7 @@
 
   private void remove(GroupRecord state, String group, Set<String> lapsed, long fence) {
     Set<String> stillLapsed =
-        context.replicas(group).unregistered(context.databases().candidates(group));
+        context.replicas(group).unregistered(context.databases().candidates(group), "");
     stillLapsed.retainAll(lapsed);
     write(state, group, context.replicas(group).without(stillLapsed), fence);
   }
--- a/core/src/test/java/org/pollenspar/core/connection/GroupExplanationTest.java
+++ b/core/src/test/java/org/pollenspar/core/connection/GroupExplanationTest.java
@@ -61,7 +61,7 @@
     void areNamed() {
       fixture.router.pool("r1").markLagging();
       DatabaseEntry draining =
-          new DatabaseEntry("r2", SessionFixture.GROUP, "10.0.0.1", 1, "c", 3, true, false);
+          new DatabaseEntry("r2", SessionFixture.GROUP, "10.0.0.1", 1, "c", 3, true, false, 0);
       fixture.router.pool("r2").update(draining);
       GroupExplanation read = ask(fixture, "old", false);
       assertEquals(ReadObstacle.LAGGING, database(read, "r1").obstacle());
--- a/core/src/test/java/org/pollenspar/core/connection/ManyHostsTest.java
+++ b/core/src/test/java/org/pollenspar/core/connection/ManyHostsTest.java
@@ -166,7 +166,7 @@
             },
             List.of(
                 new DatabaseEntry(
-                    "p", ForwardingFixture.GROUP, "10.0.0.1", 1, "d0", SLOTS, false, true)),
+                    "p", ForwardingFixture.GROUP, "10.0.0.1", 1, "d0", SLOTS, false, true, 0)),
             routes());
     List<ForwardingFixture.HostUnderTest> hosts = new ArrayList<>();
     for (int i = 0; i < HOSTS; i++) {
--- a/core/src/test/java/org/pollenspar/core/connection/SessionFixture.java
+++ b/core/src/test/java/org/pollenspar/core/connection/SessionFixture.java
@@ -112,7 +112,7 @@
   }
 
   static DatabaseEntry entry(String id, String domain, boolean primary) {
-    return new DatabaseEntry(id, GROUP, "10.0.0.1", 1, domain, 3, false, primary);
+    return new DatabaseEntry(id, GROUP, "10.0.0.1", 1, domain, 3, false, primary, 0);
   }
 
   Caller caller(String database) {
--- a/core/src/test/java/org/pollenspar/core/process/FailoverCoordinatorTest.java
+++ b/core/src/test/java/org/pollenspar/core/process/FailoverCoordinatorTest.java
@@ -48,8 +48,8 @@
     @Override
     public Collection<Candidate> candidates(String group) {
       return List.of(
-          new Candidate("p", "10.0.0.1:1", primaryDrains, true, 0),
-          new Candidate("r", "10.0.0.2:1", false, replicaClaims, 0));
+          new Candidate("p", "10.0.0.1:1", primaryDrains, true, 0, 0),
+          new Candidate("r", "10.0.0.2:1", false, replicaClaims, 0, 0));
     }
 
     @Override
--- a/core/src/test/java/org/pollenspar/core/process/ModelDatabaseControl.java
+++ b/core/src/test/java/org/pollenspar/core/process/ModelDatabaseControl.java
@@ -44,7 +44,7 @@
   public Collection<Candidate> candidates(String group) {
     return model.databases.values().stream()
         .filter(FleetModelDatabase::registered)
-        .map(each -> new Candidate(each.id, each.id, each.draining, each.primary, 1_000))
+        .map(each -> new Candidate(each.id, each.id, each.draining, each.primary, 1_000, 0))
         .toList();
   }
 
--- a/core/src/test/java/org/pollenspar/core/process/PrimaryChangeScenario.java
+++ b/core/src/test/java/org/pollenspar/core/process/PrimaryChangeScenario.java
@@ -41,6 +41,7 @@
     final Map<String, String> registered =
         new TreeMap<>(Map.of("p", "10.0.0.1:1", "r1", "10.0.0.2:1", "r2", "10.0.0.3:1"));
     final Map<String, String> lapsed = new TreeMap<>();
+    final Map<String, Long> born = new TreeMap<>();
     int syncReplicas;
 
     void at(String id, long number) {
@@ -71,7 +72,13 @@
       addresses.forEach(
           (id, address) ->
               candidates.add(
-                  new Candidate(id, address, draining.contains(id), claiming.contains(id), 0)));
+                  new Candidate(
+                      id,
+                      address,
+                      draining.contains(id),
+                      claiming.contains(id),
+                      0,
+                      born.getOrDefault(id, 0L))));
       return candidates;
     }
 
--- a/core/src/test/java/org/pollenspar/core/process/ReplicaSetRecorderTest.java
+++ b/core/src/test/java/org/pollenspar/core/process/ReplicaSetRecorderTest.java
@@ -30,6 +30,7 @@
   private final Map<String, DatabaseControl.Candidate> registered = new TreeMap<>();
   private final Map<String, DatabaseControl.Candidate> lapsed = new TreeMap<>();
   private final Map<String, DatabaseControl.DatabaseStatus> answers = new TreeMap<>();
+  private final Map<String, Long> born = new TreeMap<>();
   private int syncReplicas = 1;
   private long fence;
 
@@ -101,7 +102,10 @@
 
   private void register(String id, boolean draining) {
     String address = "10.0.0." + id.charAt(id.length() - 1) + ":1";
-    registered.put(id, new DatabaseControl.Candidate(id, address, draining, id.equals("p"), 0));
+    registered.put(
+        id,
+        new DatabaseControl.Candidate(
+            id, address, draining, id.equals("p"), 0, born.getOrDefault(id, 0L)));
   }
 
   private void at(String id, long number) {
@@ -129,8 +133,9 @@
         reply ->
             reply
                 .items()
-                .forEach(item -> ids.addAll(ReplicaSet.decode(item.value()).idsExcept(""))));
+                .forEach(item -> ids.addAll(ReplicaSet.decode(item.value()).replicas().keySet())));
     time.advance(50);
+    ids.sort(null);
     return ids;
   }
 
@@ -210,6 +215,24 @@
   @Nested
   class Removal {
 
+    /** Guards against a database that counts as holding what its earlier incarnation held. */
+    @Test
+    void earlierIncarnationStaysUntilThePositionOfThePrimaryIsReceived() {
+      advance(500);
+      born.put("r1", 100L);
+      register("r1", false);
+      advance(500);
+      assertEquals(List.of("p", "r1@100", "r2"), recorded());
+      born.put("r1", 200L);
+      register("r1", false);
+      at("r1", 0);
+      advance(10_000);
+      assertEquals(List.of("p", "r1@100", "r1@200", "r2"), recorded());
+      at("r1", 10);
+      advance(3_000);
+      assertEquals(List.of("p", "r1@200", "r2"), recorded());
+    }
+
     @Test
     void lapsedDatabaseStaysWhileThePrimaryDoesNotAnswer() {
       advance(500);
@@ -261,7 +284,7 @@
       crash("r1");
       advance(500);
       assertEquals(List.of("p", "r1", "r2"), recorded());
-      registered.put("r9", new DatabaseControl.Candidate("r9", "10.0.0.1:1", false, false, 0));
+      registered.put("r9", new DatabaseControl.Candidate("r9", "10.0.0.1:1", false, false, 0, 0));
       advance(500);
       assertEquals(List.of("p", "r2", "r9"), recorded());
     }
@@ -272,7 +295,7 @@
       answers.remove("p");
       advance(500);
       crash("r1");
-      registered.put("r9", new DatabaseControl.Candidate("r9", "10.0.0.1:1", false, false, 0));
+      registered.put("r9", new DatabaseControl.Candidate("r9", "10.0.0.1:1", false, false, 0, 0));
       advance(500);
       assertEquals(List.of("p", "r1", "r2", "r9"), recorded());
     }
--- a/edge/src/main/java/org/pollenspar/edge/process/DatabaseDirectory.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/DatabaseDirectory.java
@@ -36,7 +36,7 @@
   private final Predicate<String> synchronous;
 
   /** Databases of groups with synchronous replication that are not registered any more. */
-  private final Map<String, DatabaseEntry> lapsed = new HashMap<>();
+  private final List<DatabaseEntry> lapsed = new ArrayList<>();
 
   /**
    * Creates an empty directory.
@@ -54,8 +54,11 @@
     if (removal != null) {
       removal.cancel();
     }
-    lapsed.values().removeIf(each -> each.id().equals(entry.id()) || isSuccessor(entry, each));
+    lapsed.removeIf(each -> each.sameIncarnation(entry) || isSuccessor(entry, each));
     @Nullable DatabaseEntry known = entries.put(entry.id(), entry);
+    if (known != null && known.born() != 0 && !known.sameIncarnation(entry)) {
+      remember(known);
+    }
     if (known != null && !known.group().equals(entry.group())) {
       onGroupChanged.accept(known.group());
     }
@@ -67,6 +70,7 @@
   /** Returns whether a database has taken over the address and the log of one that has drained. */
   private static boolean isSuccessor(DatabaseEntry entry, DatabaseEntry old) {
     return old.draining()
+        && !old.id().equals(entry.id())
         && old.group().equals(entry.group())
         && old.host().equals(entry.host())
         && old.port() == entry.port();
@@ -75,21 +79,28 @@
   void unregistered(String id) {
     @Nullable DatabaseEntry entry = entries.get(id);
     if (entry != null && !removals.containsKey(id)) {
-      if (synchronous.test(entry.group())) {
-        lapsed.put(id, entry);
-      }
+      remember(entry);
       removals.put(id, timers.after(REGISTRATION_GRACE_MS, () -> remove(id)));
     }
   }
 
-  /** Returns the databases of a group that were registered and have not been forgotten since. */
+  private void remember(DatabaseEntry entry) {
+    if (synchronous.test(entry.group()) && lapsed.stream().noneMatch(entry::sameIncarnation)) {
+      lapsed.add(entry);
+    }
+  }
+
+  /**
+   * Returns the databases of a group that were registered and have not been forgotten since, also
+   * those that have started again under their id.
+   */
   List<DatabaseEntry> lapsed(String group) {
-    return lapsed.values().stream().filter(entry -> entry.group().equals(group)).toList();
+    return lapsed.stream().filter(entry -> entry.group().equals(group)).toList();
   }
 
-  /** Forgets databases whose registration has lapsed. */
-  void forgetLapsed(Set<String> ids) {
-    lapsed.keySet().removeAll(ids);
+  /** Forgets incarnations of databases whose registration has lapsed. */
+  void forgetLapsed(Set<String> incarnations) {
+    lapsed.removeIf(each -> incarnations.contains(each.incarnation()));
   }
 
   /** Returns whether the database is registered now, that is, not in its grace time. */
--- a/edge/src/main/java/org/pollenspar/edge/process/NodeDatabaseControl.java
+++ b/edge/src/main/java/org/pollenspar/edge/process/NodeDatabaseControl.java
@@ -107,7 +107,8 @@
         entry.host() + ":" + entry.port(),
         entry.draining(),
         entry.primary(),
-        answerAgeMillis);
+        answerAgeMillis,
+        entry.born());
   }
 
   @Override
