core: a lease that is granted after the stop is ended; empty logs count in asynchronous groups

A host that is stopped while the store grants it the failover lease kept it, unused, until its process ended, and with the wait for the release it would have stayed until the end of its grace time. The lease is ended at once now; aLeaseThatTheStoreGrantsAfterTheStopIsEnded fails without it (a trial).

--- a/core/src/main/java/org/pollenspar/core/process/FailoverLease.java
+++ b/core/src/main/java/org/pollenspar/core/process/FailoverLease.java
@@ -137,6 +137,10 @@
             return;
           }
           acquiring = false;
+          if (stopped) {
+            store.endLease(granted, ignored -> {});
+            return;
+          }
           lease = granted;
           fence = reply.revision();
           takenNanos = clocks.steadyNanos();
--- a/core/src/main/java/org/pollenspar/core/process/ReplicaReports.java
+++ b/core/src/main/java/org/pollenspar/core/process/ReplicaReports.java
@@ -59,12 +59,16 @@
   }
 
   /**
-   * Returns the position that the old primary reports; null if it doesn't answer, or if it holds
-   * nothing although it has led, so that it has started again without its log.
+   * Returns the position that the old primary reports; null if it doesn't answer. With synchronous
+   * replication, an empty log isn't reported, since the primary may have started again without its
+   * own.
    */
   @Nullable Position reported(DatabaseControl.@Nullable DatabaseStatus status) {
-    boolean empty = status != null && status.received().term() == 0;
-    return status == null || empty ? null : status.received();
+    boolean synchronous = context.databases().syncReplicas(group) > 0;
+    if (status == null || (synchronous && status.received().term() == 0)) {
+      return null;
+    }
+    return status.received();
   }
 
   /**
--- a/core/src/test/java/org/pollenspar/core/process/FailoverCoordinatorTest.java
+++ b/core/src/test/java/org/pollenspar/core/process/FailoverCoordinatorTest.java
@@ -32,6 +32,7 @@
   private final Databases databases = new Databases();
   private final List<String> events = new ArrayList<>();
   private final List<Consumer<PromotionService.Outcome>> calls = new ArrayList<>();
+  private ConfirmationRenewer renewer;
   private FailoverCoordinator coordinator;
 
   /** A recorded primary "p" of term 1 that answers all along, and a replica "r". */
@@ -116,7 +117,7 @@
     Member self = new Member("host", "10.0.1.1:1", "1", "", 1_000, false);
     var messages = new NoMembers();
     var renewal = new SharedRenewal(connection, table, messages, time, time, self, 8);
-    var renewer =
+    renewer =
         new ConfirmationRenewer(
             connection,
             table,
@@ -236,6 +237,43 @@
       assertFalse(leaseInStore());
     }
 
+    /** Guards against a lease that its holder neither uses nor ends. */
+    @Test
+    void aLeaseThatTheStoreGrantsAfterTheStopIsEnded() {
+      coordinator.stop();
+      for (int delayMillis = 0; delayMillis < 30; delayMillis++) {
+        time.advance(50);
+        renewer.load();
+        time.advance(50);
+        FailoverLease other =
+            new FailoverLease(
+                connection,
+                table,
+                time,
+                time,
+                (event, subject, detail) -> {},
+                "other",
+                renewer,
+                0,
+                new FailoverLease.Owner() {
+                  @Override
+                  public void taken() {}
+
+                  @Override
+                  public void lost() {}
+                });
+        other.acquireIfFree();
+        time.advance(delayMillis);
+        boolean taken = other.taken();
+        other.stop();
+        time.advance(100);
+        assertEquals(taken, other.taken());
+        other.release();
+        time.advance(20);
+        assertFalse(leaseInStore(), "stopped after " + delayMillis + " ms");
+      }
+    }
+
     @Test
     void theLeaseIsReleasedAtOnceWithoutACall() {
       coordinator.stop();
